--- /dev/null
+++ b/source/core/common/clock.h
@@ -0,0 +1,40 @@
+// The clock interface that is passed to everything that depends on time, so that tests can run
+// the same code under simulated time. All decisions use the monotonic clock; wall time appears
+// only in logs and reports.
+#pragma once
+
+#include <chrono>
+
+namespace savorytrail::common {
+
+using time_point = std::chrono::steady_clock::time_point;
+using milliseconds = std::chrono::milliseconds;
+
+class clock {
+public:
+    virtual ~clock() = default;
+    virtual time_point now() const = 0;
+
+protected:
+    clock() = default;
+    clock(const clock&) = default;
+    clock& operator=(const clock&) = default;
+};
+
+// The process's monotonic clock.
+class system_clock final : public clock {
+public:
+    time_point now() const override;
+};
+
+// A clock that stands still until it is advanced. Not synchronised: for single-threaded tests.
+class manual_clock final : public clock {
+public:
+    time_point now() const override { return m_now; }
+    void advance(milliseconds step) { m_now += step; }
+
+private:
+    time_point m_now = time_point(std::chrono::hours(1));
+};
+
+} // namespace savorytrail::common
