--- /dev/null
+++ b/source/core/dispatch/policy.h
@@ -0,0 +1,89 @@
+// Policies of a queue: in which order jobs are served, and on which executor a task is placed. Each
+// is a type that satisfies a concept, so that baselines run the same code as the standard policy.
+#pragma once
+
+#include <concepts>
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+#include "core/common/clock.h"
+
+namespace savorytrail::dispatch {
+
+// What an order may look at.
+struct job_view {
+    common::time_point arrived;
+    common::time_point deadline;
+    std::size_t waiting_tasks = 0;
+    common::milliseconds waiting_work{0}; // sum over the waiting tasks
+};
+
+// What a placement may look at.
+struct executor_view {
+    std::uint32_t slots = 0;
+    std::uint32_t running = 0;
+
+    bool is_free() const { return running < slots; }
+};
+
+// key() ranks jobs: the lowest is served first. A key must not depend on the present time.
+template <typename T>
+concept job_order = requires(const T order, const job_view& view) {
+    { order.key(view) } -> std::same_as<std::int64_t>;
+};
+
+// choose() returns the index of a free executor, or the number of executors when none is free.
+template <typename T>
+concept placement = requires(T it, const std::vector<executor_view>& executors) {
+    { it.choose(executors) } -> std::same_as<std::size_t>;
+};
+
+// Jobs in order of arrival.
+struct arrival_order {
+    std::int64_t key(const job_view& view) const { return view.arrived.time_since_epoch().count(); }
+};
+
+// The job that can be finished soonest first. Waiting work is added to the time of arrival, so that
+// a job that waits long overtakes smaller ones that came later.
+struct shortest_remaining_order {
+    std::int64_t key(const job_view& view) const {
+        return (view.arrived.time_since_epoch() + view.waiting_work).count();
+    }
+};
+
+// The executor with the smallest share of its slots in use.
+struct least_loaded_placement {
+    std::size_t choose(const std::vector<executor_view>& executors) const {
+        std::size_t best = executors.size();
+        for (std::size_t i = 0; i < executors.size(); i++) {
+            const auto& it = executors[i];
+            if (!it.is_free())
+                continue;
+            if (best == executors.size() || std::uint64_t{it.running} * executors[best].slots <
+                                                std::uint64_t{executors[best].running} * it.slots)
+                best = i;
+        }
+        return best;
+    }
+};
+
+// A random free executor.
+struct random_placement {
+    std::uint64_t state = 1;
+
+    std::size_t choose(const std::vector<executor_view>& executors) {
+        std::vector<std::size_t> free;
+        for (std::size_t i = 0; i < executors.size(); i++) {
+            if (executors[i].is_free())
+                free.push_back(i);
+        }
+        if (free.empty())
+            return executors.size();
+        constexpr std::uint64_t multiplier = 6364136223846793005;
+        state = state * multiplier + 1;
+        return free[(state >> 33) % free.size()];
+    }
+};
+
+} // namespace savorytrail::dispatch
--- /dev/null
+++ b/source/core/dispatch/types.h
@@ -0,0 +1,76 @@
+// Value types that pass between the dispatcher and the home.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/common/clock.h"
+#include "core/job/job.h"
+#include "core/manifest/manifest.h"
+#include "core/submission/submission_id.h"
+
+namespace savorytrail::dispatch {
+
+using shared_executor = std::shared_ptr<const manifest::executor>;
+
+// What the queue needs to know of a job.
+struct ticket {
+    submission::submission_id id;
+    std::string team;
+    std::string upstream;
+    common::time_point arrived;
+    common::time_point deadline = common::time_point::max();
+    std::vector<common::milliseconds> expected; // the caller's estimate for each task
+
+    bool operator==(const ticket&) const = default;
+};
+
+// An order to start one task on one executor. It holds the executor's slot until complete() is
+// called with it.
+struct start {
+    submission::submission_id id;
+    std::uint32_t task = 0;
+    std::string upstream;
+    shared_executor executor;
+
+    bool operator==(const start&) const = default;
+};
+
+enum class completion {
+    answered,    // the executor answered
+    failed,      // the executor answered with a server error
+    unknown,     // no answer came
+    not_started, // nothing reached the executor; the task goes back to the queue
+    dropped,     // the submission was closed meanwhile; the executor was not asked
+};
+
+struct verdict {
+    bool is_accepted = true;
+    job::reason why = job::reason::none;
+    std::string detail;
+    std::optional<common::milliseconds> retry_after;
+
+    bool operator==(const verdict&) const = default;
+};
+
+// Slots of one executor that this entry may use.
+struct executor_share {
+    manifest::executor executor;
+    std::uint32_t slots = 0;
+
+    bool operator==(const executor_share&) const = default;
+};
+
+struct queue_status {
+    std::string upstream;
+    std::size_t queued_tasks = 0;
+    std::size_t running_tasks = 0;
+    std::size_t slots = 0;
+
+    bool operator==(const queue_status&) const = default;
+};
+
+} // namespace savorytrail::dispatch
--- /dev/null
+++ b/source/core/entry/entry.cpp
@@ -0,0 +1,216 @@
+// Assembly, start and stop of an entry.
+#include "core/entry/entry.h"
+
+#include <nlohmann/json.hpp>
+
+#include "absl/strings/str_cat.h"
+#include "core/configuration/configuration.h"
+#include "core/entry/shares.h"
+#include "core/telemetry/log.h"
+
+namespace savorytrail::entry {
+namespace {
+
+using telemetry::log_line;
+using telemetry::severity;
+
+constexpr common::milliseconds tick_period{20};
+constexpr common::milliseconds drain_step{10};
+constexpr common::milliseconds peer_stop_grace{500};
+
+common::milliseconds ms(std::uint32_t n) {
+    return common::milliseconds(n);
+}
+
+// The settings were checked when they were loaded, so the addresses can be read.
+common::endpoint endpoint_of(const std::string& text) {
+    return common::parse_endpoint(text).value();
+}
+
+front::front_limits make_front_limits(const schema::entry_settings& settings) {
+    const auto& callers = settings.callers();
+    front::front_limits limits;
+    limits.server.threads = callers.threads();
+    limits.server.max_body_bytes = callers.max_body_bytes();
+    limits.server.read_timeout = ms(callers.read_timeout_ms());
+    limits.job.max_task_body_bytes = callers.max_task_body_bytes();
+    limits.max_ids_per_call = settings.submissions().max_ids_per_call();
+    limits.max_wait = ms(callers.max_wait_ms());
+    return limits;
+}
+
+platform::client_options make_platform_options(const schema::entry_settings& settings) {
+    return {common::parse_http_url(settings.platform().url()).value(),
+            ms(settings.platform().call_timeout_ms()), settings.node().name()};
+}
+
+} // namespace
+
+entry::entry(const schema::entry_settings& settings)
+    : m_settings(settings), m_ids(settings.node().name(), m_clock, m_random,
+                                  ms(settings.submissions().id_lifetime_ms())),
+      m_ledger({settings.submissions().max_remembered(), settings.submissions().max_kept_bytes()}),
+      m_dispatcher(settings.dispatch().policy(), {settings.dispatch().max_queued_tasks()}),
+      m_requester(m_clock,
+                  {settings.dispatch().upstream_threads(),
+                   ms(settings.dispatch().connect_timeout_ms())},
+                  [this](const home::outgoing_task& task, home::task_outcome outcome) {
+                      m_home.task_done(task, std::move(outcome));
+                  }),
+      m_home(m_ids, m_ledger, m_dispatcher, m_clock, {},
+             [this](home::outgoing_task task) { m_requester.send(std::move(task)); }),
+      m_platform(make_platform_options(settings)), m_peers(ms(settings.peers().call_timeout_ms())),
+      m_home_handler(m_home, m_ids), m_peer_server(m_home_handler),
+      m_router(settings.node().name(), m_home_handler, m_peers, m_directory),
+      m_front(make_front_limits(settings), m_ids, m_router,
+              {[this] { return is_ready(); }, [this] { return status_json(); },
+               [this] { return metrics_text(); }}) {}
+
+entry::~entry() {
+    m_threads_stop = true;
+    if (m_follower.joinable())
+        m_follower.join();
+    if (m_ticker.joinable())
+        m_ticker.join();
+    m_requester.shut_down();
+}
+
+std::error_code entry::start() {
+    if (const auto ec = m_peer_server.start(endpoint_of(m_settings.peers().listen())))
+        return ec;
+    if (const auto ec = m_front.start(endpoint_of(m_settings.callers().listen())))
+        return ec;
+    m_follower = std::thread([this] { follow_platform(); });
+    m_ticker = std::thread([this] { run_ticks(); });
+    log_line(severity::info, "entry_started")
+        .field("incarnation", submission::to_string(m_ids.self()))
+        .field("callers", m_settings.callers().listen())
+        .field("peers", m_settings.peers().listen());
+    return {};
+}
+
+bool entry::stop() {
+    const auto begun = m_clock.now();
+    const auto grace = ms(m_settings.dispatch().stop_grace_ms());
+    log_line(severity::info, "stop_begun")
+        .field("tasks_in_flight", static_cast<std::int64_t>(m_home.tasks_in_flight()));
+    m_is_stopping = true;
+    m_front.stop_issuing();
+    m_home.stop_admitting();
+    while (m_home.open_submissions() > 0 || m_home.tasks_in_flight() > 0) {
+        if (m_clock.now() - begun >= grace)
+            break;
+        std::this_thread::sleep_for(drain_step);
+    }
+    const bool is_clean = m_front.drain(peer_stop_grace) && m_home.tasks_in_flight() == 0;
+    m_peer_server.stop(peer_stop_grace);
+    log_line(is_clean ? severity::info : severity::warning, "stop_ended")
+        .field("tasks_in_flight", static_cast<std::int64_t>(m_home.tasks_in_flight()));
+    return is_clean;
+}
+
+void entry::follow_platform() {
+    const auto period = ms(m_settings.platform().poll_ms());
+    while (!m_threads_stop) {
+        const auto begun = m_clock.now();
+        read_configuration();
+        read_live_list();
+        refresh_shares();
+        while (!m_threads_stop && m_clock.now() - begun < period)
+            std::this_thread::sleep_for(drain_step);
+    }
+}
+
+void entry::read_configuration() {
+    const auto newer = configuration::read_newer(m_platform, m_configuration.version());
+    if (!newer || !newer.value())
+        return;
+    if (!m_configuration.offer(*newer.value()))
+        return;
+    const auto current = m_configuration.current();
+    m_home.apply(std::shared_ptr<const manifest::manifest>(current, &current->value));
+    log_line(severity::info, "configuration_in_force")
+        .field("version", static_cast<std::int64_t>(current->version));
+}
+
+void entry::read_live_list() {
+    const auto changes = m_platform.read_newer(m_list_revision);
+    if (!changes)
+        return;
+    m_list_revision = changes.value().revision;
+    m_directory.update(changes.value());
+}
+
+void entry::refresh_shares() {
+    const auto current = m_configuration.current();
+    if (!current)
+        return;
+    absl::flat_hash_map<std::string, std::vector<dispatch::executor_share>> shares;
+    for (const auto& it : current->value.upstreams)
+        shares[it.name] = own_shares(it, m_settings.node().failure_domain(),
+                                     m_settings.node().name(), m_directory);
+    for (const auto& [name, before] : m_shares)
+        shares.try_emplace(name); // an upstream that is gone from the manifest keeps no executor
+    for (const auto& [name, it] : shares) {
+        if (m_shares.contains(name) && m_shares[name] == it)
+            continue;
+        m_home.set_executors(name, it);
+        log_line(severity::info, "executors_changed")
+            .field("upstream", name)
+            .field("executors", static_cast<std::int64_t>(it.size()));
+    }
+    m_shares = std::move(shares);
+}
+
+void entry::run_ticks() {
+    while (!m_threads_stop) {
+        m_home.tick();
+        std::this_thread::sleep_for(tick_period);
+    }
+}
+
+bool entry::is_ready() const {
+    return !m_is_stopping && m_configuration.version() > 0;
+}
+
+std::string entry::status_json() const {
+    const auto remembered = m_ledger.size();
+    nlohmann::json status = {{"vm", m_settings.node().name()},
+                             {"failure_domain", m_settings.node().failure_domain()},
+                             {"region", m_settings.node().region()},
+                             {"incarnation", submission::to_string(m_ids.self())},
+                             {"ready", is_ready()},
+                             {"stopping", m_is_stopping.load()},
+                             {"configuration_version", m_configuration.version()},
+                             {"remembered_submissions", remembered.records},
+                             {"remembered_bytes", remembered.bytes},
+                             {"running_tasks", m_home.tasks_in_flight()}};
+    std::size_t queued = 0;
+    for (const auto& it : m_dispatcher.status()) {
+        queued += it.queued_tasks;
+        status["upstreams"].push_back({{"name", it.upstream},
+                                       {"queued_tasks", it.queued_tasks},
+                                       {"running_tasks", it.running_tasks},
+                                       {"slots", it.slots}});
+    }
+    status["queued_tasks"] = queued;
+    return status.dump();
+}
+
+std::string entry::metrics_text() const {
+    const auto remembered = m_ledger.size();
+    std::string text;
+    const auto add = [&text](std::string_view name, std::string_view help, std::size_t value) {
+        text += "# HELP " + std::string(name) + " " + std::string(help) + "\n# TYPE " +
+                std::string(name) + " gauge\n" + std::string(name) + " " + std::to_string(value) +
+                "\n";
+    };
+    add("savory_remembered_submissions", "Submissions remembered.", remembered.records);
+    add("savory_remembered_bytes", "Bytes held by remembered submissions.", remembered.bytes);
+    add("savory_tasks_in_flight", "Requests out at executors.", m_home.tasks_in_flight());
+    add("savory_configuration_version", "Version of the manifest in force.",
+        m_configuration.version());
+    return text;
+}
+
+} // namespace savorytrail::entry
--- /dev/null
+++ b/source/core/entry/entry.h
@@ -0,0 +1,81 @@
+// One entry VM's process, assembled: callers' server, peers' server, home, dispatcher, and the
+// threads that follow the platform.
+#pragma once
+
+#include <atomic>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <system_error>
+#include <thread>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "core/common/clock.h"
+#include "core/common/random.h"
+#include "core/configuration/holder.h"
+#include "core/dispatch/dispatcher.h"
+#include "core/front/front.h"
+#include "core/home/home.h"
+#include "core/membership/directory.h"
+#include "core/peer/client.h"
+#include "core/peer/server.h"
+#include "core/platform/client.h"
+#include "core/routing/router.h"
+#include "core/submission/issuer.h"
+#include "core/submission/ledger.h"
+#include "core/upstream/requester.h"
+#include "settings.pb.h"
+
+namespace savorytrail::entry {
+
+class entry {
+public:
+    explicit entry(const schema::entry_settings& settings);
+    ~entry();
+    entry(const entry&) = delete;
+    entry& operator=(const entry&) = delete;
+
+    // Binds and starts serving.
+    std::error_code start();
+
+    // The planned stop: refuses new submissions, finishes those in flight, then ends. Returns false
+    // when the grace ran out with requests in flight.
+    bool stop();
+
+private:
+    void follow_platform();
+    void read_configuration();
+    void read_live_list();
+    void refresh_shares();
+    void run_ticks();
+    bool is_ready() const;
+    std::string status_json() const;
+    std::string metrics_text() const;
+
+    const schema::entry_settings m_settings;
+    common::system_clock m_clock;
+    common::secure_random m_random;
+    submission::issuer m_ids;
+    submission::ledger m_ledger;
+    dispatch::dispatcher m_dispatcher;
+    upstream::requester m_requester;
+    home::home m_home;
+    platform::client m_platform;
+    configuration::holder m_configuration;
+    membership::directory m_directory;
+    peer::client m_peers;
+    routing::home_handler m_home_handler;
+    peer::server m_peer_server;
+    routing::router m_router;
+    front::front m_front;
+    std::uint64_t m_list_revision = 0; // used by the follower thread alone
+    std::atomic<bool> m_is_stopping{false};
+    std::atomic<bool> m_threads_stop{false};
+    std::thread m_follower;
+    std::thread m_ticker;
+    absl::flat_hash_map<std::string, std::vector<dispatch::executor_share>>
+        m_shares; // as last handed to the home; used by the follower thread alone
+};
+
+} // namespace savorytrail::entry
--- /dev/null
+++ b/source/core/front/front.cpp
@@ -0,0 +1,163 @@
+// Routes of the callers' HTTP server.
+#include "core/front/front.h"
+
+#include <charconv>
+#include <nlohmann/json.hpp>
+#include <variant>
+
+#include "httplib.h"
+
+namespace savorytrail::front {
+namespace {
+
+constexpr const char* json_type = "application/json";
+constexpr common::milliseconds stopping_retry{200};
+
+void send(const reply& it, httplib::Response& response) {
+    response.status = it.status;
+    if (it.retry_after) {
+        // The header has whole seconds; the body's retry_after_ms is exact.
+        const auto seconds = std::chrono::ceil<std::chrono::seconds>(*it.retry_after);
+        response.set_header("Retry-After", std::to_string(seconds.count()));
+    }
+    response.set_content(it.body, json_type);
+}
+
+// The wait a caller asks for; nullopt when it is not a number.
+std::optional<common::milliseconds> read_wait(const httplib::Request& request,
+                                              common::milliseconds most,
+                                              common::milliseconds otherwise) {
+    if (!request.has_param("wait_ms"))
+        return otherwise;
+    const std::string text = request.get_param_value("wait_ms");
+    std::uint32_t n = 0;
+    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), n);
+    if (ec != std::errc() || end != text.data() + text.size())
+        return std::nullopt;
+    return std::min(common::milliseconds(n), most);
+}
+
+reply invalid(const job::invalid_field& what) {
+    return error_reply(400, "invalid_field", what.field, what.message);
+}
+
+} // namespace
+
+front::front(front_limits limits, submission::issuer& ids, routing::router& router,
+             front_sources sources)
+    : m_limits(limits), m_ids(ids), m_router(router), m_sources(std::move(sources)),
+      m_server(std::make_unique<httplib::Server>()) {}
+
+front::~front() {
+    stop();
+}
+
+std::error_code front::start(const common::endpoint& address) {
+    add_routes();
+    if (const auto ec = http::bind_server(*m_server, address, m_limits.server))
+        return ec;
+    m_thread = std::thread([this] { m_server->listen_after_bind(); });
+    return {};
+}
+
+void front::stop() {
+    m_server->stop();
+    if (m_thread.joinable())
+        m_thread.join();
+}
+
+void front::add_routes() {
+    using request = httplib::Request;
+    using response = httplib::Response;
+    m_server->Post("/v1/submission-ids", serve([this](const request& in) { return issue_ids(in); }));
+    m_server->Put(R"(/v1/jobs/([^/]+))", serve([this](const request& in) { return submit(in); }));
+    m_server->Get(R"(/v1/jobs/([^/]+))", serve([this](const request& in) {
+        return ask(in, peer::request_kind::query);
+    }));
+    m_server->Delete(R"(/v1/jobs/([^/]+))", serve([this](const request& in) {
+        return ask(in, peer::request_kind::cancel);
+    }));
+    m_server->Get("/healthz",
+                  [](const request&, response& out) { out.set_content("ok\n", "text/plain"); });
+    m_server->Get("/readyz", [this](const request&, response& out) {
+        const bool ready = m_sources.is_ready();
+        out.status = ready ? 200 : 503;
+        out.set_content(ready ? "ready\n" : "not ready\n", "text/plain");
+    });
+    m_server->Get("/v1/status", [this](const request&, response& out) {
+        out.set_content(m_sources.status_json(), json_type);
+    });
+    m_server->Get("/metrics", [this](const request&, response& out) {
+        out.set_content(m_sources.metrics_text(), "text/plain; version=0.0.4");
+    });
+    m_server->set_error_handler([](const request&, response& out) {
+        if (out.body.empty())
+            send(error_reply(out.status, "http_error", "",
+                             "no such call, or the request exceeds a limit"),
+                 out);
+    });
+}
+
+std::function<void(const httplib::Request&, httplib::Response&)> front::serve(handler inner) {
+    return [this, inner = std::move(inner)](const httplib::Request& in, httplib::Response& out) {
+        m_active++;
+        send(inner(in), out);
+        if (!m_is_issuing)
+            out.set_header("Connection", "close");
+        m_active--;
+    };
+}
+
+bool front::drain(common::milliseconds grace) {
+    constexpr common::milliseconds step{10};
+    for (common::milliseconds waited{0}; m_active > 0; waited += step) {
+        if (waited >= grace)
+            return false;
+        std::this_thread::sleep_for(step);
+    }
+    return true;
+}
+
+reply front::issue_ids(const httplib::Request& request) {
+    const auto count = job::parse_count(request.body, m_limits.max_ids_per_call);
+    if (const auto* what = std::get_if<job::invalid_field>(&count))
+        return invalid(*what);
+    if (!m_is_issuing || !m_sources.is_ready()) {
+        auto it = error_reply(503, "not_ready", "", "this entry issues no ids now; ask another");
+        it.retry_after = stopping_retry;
+        return it;
+    }
+    nlohmann::json body = {{"lifetime_ms", m_ids.lifetime().count()}};
+    for (const auto& id : m_ids.issue(std::get<std::size_t>(count)))
+        body["ids"].push_back(submission::to_string(id));
+    return {200, body.dump(), {}};
+}
+
+reply front::submit(const httplib::Request& request) {
+    auto job = job::parse_job(request.body, m_limits.job);
+    if (const auto* what = std::get_if<job::invalid_field>(&job))
+        return invalid(*what);
+    const auto wait = read_wait(request, m_limits.max_wait, m_limits.max_wait);
+    if (!wait)
+        return invalid({"wait_ms", "must be a whole number of milliseconds"});
+    return route(request.matches[1], peer::request_kind::submit, std::get<job::job>(std::move(job)),
+                 *wait);
+}
+
+reply front::ask(const httplib::Request& request, peer::request_kind kind) {
+    const auto wait = read_wait(request, m_limits.max_wait, common::milliseconds(0));
+    if (!wait)
+        return invalid({"wait_ms", "must be a whole number of milliseconds"});
+    return route(request.matches[1], kind, std::nullopt, *wait);
+}
+
+reply front::route(const std::string& id_text, peer::request_kind kind, std::optional<job::job> job,
+                   common::milliseconds wait) {
+    const auto id = submission::parse_submission_id(id_text);
+    if (!id)
+        return error_reply(400, "invalid_id", "id", "is not a submission id");
+    const auto result = m_router.route({kind, *id, std::move(job), wait, {}});
+    return result_reply(result, id_text);
+}
+
+} // namespace savorytrail::front
--- /dev/null
+++ b/source/core/front/front.h
@@ -0,0 +1,78 @@
+// The HTTP server for callers (docs/API.md).
+#pragma once
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <string>
+#include <system_error>
+#include <thread>
+
+#include "core/front/replies.h"
+#include "core/http/server_setup.h"
+#include "core/job/job_json.h"
+#include "core/routing/router.h"
+#include "core/submission/issuer.h"
+
+namespace httplib {
+class Server;
+struct Request;
+struct Response;
+} // namespace httplib
+
+namespace savorytrail::front {
+
+struct front_limits {
+    http::server_limits server;
+    job::job_limits job;
+    std::size_t max_ids_per_call = 1000;
+    common::milliseconds max_wait{30000};
+
+    bool operator==(const front_limits&) const = default;
+};
+
+// Texts that other parts of the entry provide.
+struct front_sources {
+    std::function<bool()> is_ready;
+    std::function<std::string()> status_json;
+    std::function<std::string()> metrics_text;
+};
+
+class front {
+public:
+    front(front_limits limits, submission::issuer& ids, routing::router& router,
+          front_sources sources);
+    ~front();
+    front(const front&) = delete;
+    front& operator=(const front&) = delete;
+
+    std::error_code start(const common::endpoint& address);
+    // No further ids are issued; submissions and queries are still served, and each connection is
+    // closed after its answer, so that callers go to another entry.
+    void stop_issuing() { m_is_issuing = false; }
+    // Waits until no request is being served; false when `grace` was over before.
+    bool drain(common::milliseconds grace);
+    void stop();
+
+private:
+    using handler = std::function<reply(const httplib::Request&)>;
+
+    void add_routes();
+    std::function<void(const httplib::Request&, httplib::Response&)> serve(handler inner);
+    reply issue_ids(const httplib::Request& request);
+    reply submit(const httplib::Request& request);
+    reply ask(const httplib::Request& request, peer::request_kind kind);
+    reply route(const std::string& id_text, peer::request_kind kind, std::optional<job::job> job,
+                common::milliseconds wait);
+
+    const front_limits m_limits;
+    submission::issuer& m_ids;
+    routing::router& m_router;
+    const front_sources m_sources;
+    std::atomic<bool> m_is_issuing{true};
+    std::atomic<std::size_t> m_active{0}; // requests being served
+    std::unique_ptr<httplib::Server> m_server;
+    std::thread m_thread;
+};
+
+} // namespace savorytrail::front
--- /dev/null
+++ b/source/core/home/home.cpp
@@ -0,0 +1,218 @@
+// The home's decisions. Locks are taken one at a time: the ledger's and the dispatcher's are never
+// held together.
+#include "core/home/home.h"
+
+#include <mutex>
+
+#include "absl/strings/str_cat.h"
+#include "core/job/job_codec.h"
+
+namespace savorytrail::home {
+namespace {
+
+constexpr common::milliseconds memory_retry{1000};
+constexpr common::milliseconds stopping_retry{200};
+
+submission::shared_answer make_answer(job::answer_state state, job::reason why, std::string detail,
+                                      std::optional<common::milliseconds> retry_after = {}) {
+    job::answer it;
+    it.state = state;
+    it.why = why;
+    it.detail = std::move(detail);
+    it.retry_after = retry_after;
+    return std::make_shared<const job::answer>(std::move(it));
+}
+
+// The home no longer remembers what became of an expired id, so every task is unknown.
+submission::shared_answer make_expired_answer(std::size_t tasks) {
+    job::answer it;
+    it.state = job::answer_state::failed;
+    it.why = job::reason::id_expired;
+    it.detail = "the submission id is past its lifetime; nothing more starts under it";
+    it.tasks.assign(tasks, job::task_state::unknown);
+    return std::make_shared<const job::answer>(std::move(it));
+}
+
+request_result answered(submission::shared_answer answer) {
+    return {request_outcome::answered, std::move(answer)};
+}
+
+} // namespace
+
+home::home(submission::issuer& ids, submission::ledger& ledger, dispatch::dispatcher& dispatcher,
+           const common::clock& clock, home_limits limits, task_sink sink)
+    : m_ids(ids), m_ledger(ledger), m_dispatcher(dispatcher), m_clock(clock), m_limits(limits),
+      m_sink(std::move(sink)) {}
+
+request_result home::submit(const submission::submission_id& id, job::job job,
+                            submission::answer_listener listener) {
+    if (!m_ids.is_genuine(id))
+        return {request_outcome::forged, nullptr};
+    const std::size_t task_count = job.tasks.size();
+    if (m_ids.is_expired(id)) {
+        // What is still remembered of an expired id is still answered.
+        const auto known = m_ledger.listen(id, std::move(listener));
+        if (!known)
+            return answered(make_expired_answer(task_count));
+        return *known ? answered(*known) : request_result{request_outcome::waiting, nullptr};
+    }
+
+    std::string digest = job::digest(job);
+    const auto body = std::make_shared<const job::job>(std::move(job));
+    const auto opened =
+        m_ledger.open(id, std::move(digest), body, m_ids.expiry(id), std::move(listener));
+    switch (opened.outcome) {
+    case submission::open_outcome::different_body:
+        return {request_outcome::different_body, nullptr};
+    case submission::open_outcome::memory_full:
+        return answered(make_answer(job::answer_state::unavailable, job::reason::memory_full,
+                                    "this entry cannot remember one more submission",
+                                    memory_retry));
+    case submission::open_outcome::already_known:
+        if (opened.answer)
+            return answered(opened.answer);
+        return {request_outcome::waiting, nullptr};
+    case submission::open_outcome::opened:
+        break;
+    }
+
+    std::vector<dispatch::start> starts;
+    const auto verdict = admit(id, body, starts);
+    if (!verdict.is_accepted)
+        m_ledger.give_up(id, verdict.why, verdict.detail, verdict.retry_after);
+    send(std::move(starts));
+    return {request_outcome::waiting, nullptr};
+}
+
+request_result home::query(const submission::submission_id& id,
+                           submission::answer_listener listener) {
+    if (!m_ids.is_genuine(id))
+        return {request_outcome::forged, nullptr};
+    const auto known = m_ledger.listen(id, std::move(listener));
+    if (known)
+        return *known ? answered(*known) : request_result{request_outcome::waiting, nullptr};
+    if (m_ids.is_expired(id))
+        return answered(make_expired_answer(0));
+    return answered(make_answer(job::answer_state::unavailable, job::reason::never_submitted,
+                                "nothing was submitted under this id yet"));
+}
+
+request_result home::cancel(const submission::submission_id& id) {
+    if (!m_ids.is_genuine(id))
+        return {request_outcome::forged, nullptr};
+    if (m_ids.is_expired(id) && !m_ledger.listen(id, nullptr))
+        return answered(make_expired_answer(0));
+
+    const auto upstream = m_ledger.upstream_of(id);
+    const auto answer = m_ledger.cancel(id, m_ids.expiry(id));
+    if (!answer)
+        return answered(make_answer(job::answer_state::unavailable, job::reason::memory_full,
+                                    "this entry cannot remember one more submission",
+                                    memory_retry));
+    if (upstream)
+        m_dispatcher.cancel(*upstream, id);
+    return answered(answer);
+}
+
+void home::task_done(const outgoing_task& task, task_outcome outcome) {
+    constexpr auto to_completion = [](submission::task_end end) {
+        switch (end) {
+        case submission::task_end::answered:
+            return dispatch::completion::answered;
+        case submission::task_end::failed:
+            return dispatch::completion::failed;
+        case submission::task_end::unknown:
+            return dispatch::completion::unknown;
+        case submission::task_end::not_started:
+            return dispatch::completion::not_started;
+        }
+        return dispatch::completion::unknown;
+    };
+    m_in_flight--;
+    const bool ends_job =
+        outcome.end == submission::task_end::failed || outcome.end == submission::task_end::unknown;
+    // The ledger comes first: a task that goes back to the queue must be startable again before the
+    // dispatcher hands it out.
+    m_ledger.end_task(task.where.id, task.where.task, outcome.end, std::move(outcome.result));
+    if (ends_job)
+        m_dispatcher.cancel(task.where.upstream, task.where.id);
+    std::vector<dispatch::start> starts;
+    m_dispatcher.complete(task.where, to_completion(outcome.end), outcome.took, m_clock.now(),
+                          starts);
+    send(std::move(starts));
+}
+
+void home::apply(std::shared_ptr<const manifest::manifest> manifest) {
+    const std::lock_guard lock(m_manifest_mutex);
+    m_manifest = std::move(manifest);
+}
+
+void home::set_executors(const std::string& upstream,
+                         const std::vector<dispatch::executor_share>& shares) {
+    std::vector<dispatch::start> starts;
+    m_dispatcher.set_executors(upstream, shares, m_clock.now(), starts);
+    send(std::move(starts));
+}
+
+void home::tick() {
+    const auto now = m_clock.now();
+    for (const auto& it : m_deadlines.take_due(now)) {
+        m_ledger.give_up(it.id, job::reason::deadline_passed,
+                         "tasks were unfinished at the deadline", std::nullopt);
+        m_dispatcher.cancel(it.upstream, it.id);
+    }
+    m_ledger.forget_expired(now);
+}
+
+dispatch::verdict home::admit(const submission::submission_id& id,
+                              const submission::shared_job& job,
+                              std::vector<dispatch::start>& starts) {
+    if (m_is_stopping)
+        return {false, job::reason::stopping, "this entry is in its planned stop", stopping_retry};
+    const auto manifest = current_manifest();
+    if (!manifest)
+        return {false, job::reason::not_configured, "this entry has no manifest yet", memory_retry};
+    if (manifest->find_team(job->team) == nullptr)
+        return {false, job::reason::unknown_team,
+                absl::StrCat("the manifest has no team ", job->team), std::nullopt};
+    if (manifest->find_upstream(job->upstream) == nullptr)
+        return {false, job::reason::unknown_upstream,
+                absl::StrCat("the manifest has no upstream ", job->upstream), std::nullopt};
+
+    const auto now = m_clock.now();
+    const auto allowed = job->deadline.count() > 0 ? job->deadline : m_limits.default_deadline;
+    dispatch::ticket ticket{id, job->team, job->upstream, now, now + allowed, {}};
+    ticket.expected.reserve(job->tasks.size());
+    for (const auto& it : job->tasks)
+        ticket.expected.push_back(it.expected);
+    m_deadlines.add(ticket.deadline, {id, job->upstream});
+    return m_dispatcher.submit(ticket, now, starts);
+}
+
+void home::send(std::vector<dispatch::start> starts) {
+    // Dropping a start frees its slot, which can bring further starts.
+    for (std::size_t i = 0; i < starts.size(); i++) {
+        const dispatch::start it = starts[i];
+        const auto manifest = current_manifest();
+        const auto* upstream = manifest ? manifest->find_upstream(it.upstream) : nullptr;
+        auto body = upstream != nullptr ? m_ledger.begin_task(it.id, it.task) : nullptr;
+        if (!body) {
+            drop(it, starts);
+            continue;
+        }
+        m_in_flight++;
+        m_sink({it, std::move(body), upstream->task_timeout, upstream->not_accepted_status});
+    }
+}
+
+void home::drop(const dispatch::start& it, std::vector<dispatch::start>& starts) {
+    m_dispatcher.complete(it, dispatch::completion::dropped, common::milliseconds(0), m_clock.now(),
+                          starts);
+}
+
+std::shared_ptr<const manifest::manifest> home::current_manifest() const {
+    const std::shared_lock lock(m_manifest_mutex);
+    return m_manifest;
+}
+
+} // namespace savorytrail::home
--- /dev/null
+++ b/source/core/home/home.h
@@ -0,0 +1,107 @@
+// The decisions of one incarnation about the submissions that call it home: admission, starts,
+// final answers. Sans I/O: requests to executors leave through a sink, and their outcomes come back
+// by task_done(). The same code runs in the programs and under stateful fuzzing.
+#pragma once
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <shared_mutex>
+#include <string>
+#include <vector>
+
+#include "core/common/clock.h"
+#include "core/dispatch/dispatcher.h"
+#include "core/home/deadline_queue.h"
+#include "core/job/job.h"
+#include "core/manifest/manifest.h"
+#include "core/submission/issuer.h"
+#include "core/submission/ledger.h"
+
+namespace savorytrail::home {
+
+// A request to one executor, to be sent once.
+struct outgoing_task {
+    dispatch::start where;
+    submission::shared_job body; // the task is body->tasks[where.task]
+    common::milliseconds timeout{0};
+    int not_accepted_status = 0; // HTTP status by which the executor says it did not start it
+};
+
+struct task_outcome {
+    submission::task_end end = submission::task_end::unknown;
+    job::task_result result;
+    common::milliseconds took{0};
+};
+
+using task_sink = std::function<void(outgoing_task)>;
+
+enum class request_outcome {
+    answered,       // `answer` is set: final, unavailable, or running
+    waiting,        // the listener will be called with the final answer
+    different_body, // the id stands for another job
+    forged,         // this incarnation never issued the id
+};
+
+struct request_result {
+    request_outcome outcome = request_outcome::answered;
+    submission::shared_answer answer;
+};
+
+struct home_limits {
+    common::milliseconds default_deadline{60000}; // for jobs that name none
+
+    bool operator==(const home_limits&) const = default;
+};
+
+class home {
+public:
+    home(submission::issuer& ids, submission::ledger& ledger, dispatch::dispatcher& dispatcher,
+         const common::clock& clock, home_limits limits, task_sink sink);
+    home(const home&) = delete;
+    home& operator=(const home&) = delete;
+
+    request_result submit(const submission::submission_id& id, job::job job,
+                          submission::answer_listener listener);
+    request_result query(const submission::submission_id& id, submission::answer_listener listener);
+    request_result cancel(const submission::submission_id& id);
+
+    // Reports the end of an outgoing task. Called exactly once for each.
+    void task_done(const outgoing_task& task, task_outcome outcome);
+
+    // Puts a manifest in force.
+    void apply(std::shared_ptr<const manifest::manifest> manifest);
+    void set_executors(const std::string& upstream,
+                       const std::vector<dispatch::executor_share>& shares);
+
+    // From now on every new submission is refused. Part of a planned stop.
+    void stop_admitting() { m_is_stopping = true; }
+    // Submissions without a final answer.
+    std::size_t open_submissions() const { return m_ledger.size().open; }
+    // Requests that are out at executors.
+    std::size_t tasks_in_flight() const { return m_in_flight.load(); }
+
+    // Gives up submissions past their deadline and forgets those past their lifetime.
+    void tick();
+
+private:
+    dispatch::verdict admit(const submission::submission_id& id, const submission::shared_job& job,
+                            std::vector<dispatch::start>& starts);
+    void send(std::vector<dispatch::start> starts);
+    void drop(const dispatch::start& it, std::vector<dispatch::start>& starts);
+    std::shared_ptr<const manifest::manifest> current_manifest() const;
+
+    submission::issuer& m_ids;
+    submission::ledger& m_ledger;
+    dispatch::dispatcher& m_dispatcher;
+    const common::clock& m_clock;
+    const home_limits m_limits;
+    const task_sink m_sink;
+    deadline_queue m_deadlines;
+    std::atomic<bool> m_is_stopping{false};
+    std::atomic<std::size_t> m_in_flight{0};
+    mutable std::shared_mutex m_manifest_mutex;
+    std::shared_ptr<const manifest::manifest> m_manifest; // guarded by m_manifest_mutex
+};
+
+} // namespace savorytrail::home
--- a/source/core/http/server_setup.cpp
+++ b/source/core/http/server_setup.cpp
@@ -8,6 +8,7 @@
 
 #include <memory>
 
+#include "core/common/thread_pool.h"
 #include "httplib.h"
 
 namespace savorytrail::http {
@@ -16,11 +17,22 @@
 constexpr int listen_queue = 1024; // connections
 constexpr std::size_t keep_alive_requests = 1'000'000'000;
 
+// cpp-httplib's own pool starts all its threads at once; this one grows with the connections.
+class growing_task_queue final : public httplib::TaskQueue {
+public:
+    explicit growing_task_queue(std::size_t max_threads) : m_pool(max_threads) {}
+    void enqueue(std::function<void()> fn) override { m_pool.run(std::move(fn)); }
+    void shutdown() override { m_pool.shut_down(); }
+
+private:
+    common::thread_pool m_pool;
+};
+
 } // namespace
 
 std::error_code bind_server(httplib::Server& server, const common::endpoint& address,
                             const server_limits& limits) {
-    server.new_task_queue = [n = limits.threads] { return new httplib::ThreadPool(n); };
+    server.new_task_queue = [n = limits.threads] { return new growing_task_queue(n); };
     server.set_payload_max_length(limits.max_body_bytes);
     server.set_read_timeout(limits.read_timeout);
     server.set_write_timeout(limits.read_timeout);
--- /dev/null
+++ b/source/core/peer/types.h
@@ -0,0 +1,36 @@
+// Requests that one entry passes on to another, and what comes back.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "core/common/clock.h"
+#include "core/job/job.h"
+#include "core/submission/submission_id.h"
+
+namespace savorytrail::peer {
+
+enum class request_kind : std::uint8_t { submit, query, cancel };
+
+struct forward_request {
+    request_kind kind = request_kind::query;
+    submission::submission_id id;
+    std::optional<job::job> job; // set for submit
+    common::milliseconds wait{0};
+    std::string came_in_at; // VM name of the entry that the caller asked
+
+    bool operator==(const forward_request&) const = default;
+};
+
+enum class forward_outcome : std::uint8_t { answered, not_home, different_body, forged };
+
+struct forward_result {
+    forward_outcome outcome = forward_outcome::answered;
+    job::answer answer;
+    submission::incarnation current; // of the process that replied
+
+    bool operator==(const forward_result&) const = default;
+};
+
+} // namespace savorytrail::peer
--- /dev/null
+++ b/source/core/routing/home_handler.cpp
@@ -0,0 +1,49 @@
+// Translation between forwarded requests and the home's calls.
+#include "core/routing/home_handler.h"
+
+namespace savorytrail::routing {
+
+void home_handler::handle(peer::forward_request request, done_function done) {
+    peer::forward_result reply;
+    reply.current = m_ids.self();
+    if (request.id.home != m_ids.self()) {
+        reply.outcome = peer::forward_outcome::not_home;
+        done(std::move(reply));
+        return;
+    }
+
+    const auto result =
+        ask_home(request, [done, reply](const submission::shared_answer& answer) mutable {
+            reply.answer = *answer;
+            done(std::move(reply));
+        });
+    switch (result.outcome) {
+    case home::request_outcome::waiting:
+        return;
+    case home::request_outcome::answered:
+        reply.answer = *result.answer;
+        break;
+    case home::request_outcome::different_body:
+        reply.outcome = peer::forward_outcome::different_body;
+        break;
+    case home::request_outcome::forged:
+        reply.outcome = peer::forward_outcome::forged;
+        break;
+    }
+    done(std::move(reply));
+}
+
+home::request_result home_handler::ask_home(peer::forward_request& request,
+                                            submission::answer_listener listener) {
+    switch (request.kind) {
+    case peer::request_kind::submit:
+        return m_home.submit(request.id, std::move(*request.job), std::move(listener));
+    case peer::request_kind::cancel:
+        return m_home.cancel(request.id);
+    case peer::request_kind::query:
+        break;
+    }
+    return m_home.query(request.id, std::move(listener));
+}
+
+} // namespace savorytrail::routing
--- /dev/null
+++ b/source/core/routing/router.cpp
@@ -0,0 +1,78 @@
+// Routing to the home. A home that cannot be reached is never declared dead: only a new incarnation
+// at its address, or the live list's word that its VM is gone, makes the answer final.
+#include "core/routing/router.h"
+
+#include <future>
+
+namespace savorytrail::routing {
+namespace {
+
+constexpr common::milliseconds unreachable_retry{500};
+
+peer::forward_result with_answer(job::answer answer) {
+    peer::forward_result it;
+    it.answer = std::move(answer);
+    return it;
+}
+
+peer::forward_result home_is_dead(const peer::forward_request& request) {
+    job::answer it;
+    it.state = job::answer_state::failed;
+    it.why = job::reason::home_dead;
+    it.detail = "the entry that issued this id is gone; what ran is unknown, nothing more starts";
+    it.tasks.assign(request.job ? request.job->tasks.size() : 0, job::task_state::unknown);
+    return with_answer(std::move(it));
+}
+
+peer::forward_result home_is_unreachable() {
+    job::answer it;
+    it.state = job::answer_state::unavailable;
+    it.why = job::reason::home_unreachable;
+    it.detail = "the entry that issued this id cannot be reached from here";
+    it.retry_after = unreachable_retry;
+    return with_answer(std::move(it));
+}
+
+peer::forward_result still_running() {
+    job::answer it;
+    it.state = job::answer_state::running;
+    it.why = job::reason::wait_over;
+    return with_answer(std::move(it));
+}
+
+} // namespace
+
+peer::forward_result router::route(peer::forward_request request) {
+    request.came_in_at = m_vm_name;
+    if (request.id.home == m_local.self())
+        return ask_local(std::move(request));
+    return ask_peer(request);
+}
+
+peer::forward_result router::ask_local(peer::forward_request request) {
+    const auto wait = request.wait;
+    const auto promise = std::make_shared<std::promise<peer::forward_result>>();
+    auto answer = promise->get_future();
+    m_local.handle(std::move(request), [promise](peer::forward_result result) {
+        promise->set_value(std::move(result));
+    });
+    if (answer.wait_for(wait) == std::future_status::timeout)
+        return still_running();
+    return answer.get();
+}
+
+peer::forward_result router::ask_peer(const peer::forward_request& request) {
+    const auto vm = m_directory.find_number(request.id.vm);
+    if (!vm || !vm->address)
+        return home_is_unreachable();
+    if (vm->state == platform::vm_state::gone)
+        return home_is_dead(request);
+    auto result = m_peers.forward(*vm->address, request);
+    if (!result)
+        return home_is_unreachable();
+    if (result.value().outcome == peer::forward_outcome::not_home)
+        return home_is_dead(request);
+    return std::move(result.value());
+}
+
+} // namespace savorytrail::routing
--- /dev/null
+++ b/source/core/submission/ledger.cpp
@@ -0,0 +1,238 @@
+// The ledger's transitions. Listeners run after the shard's lock is released, since they may call
+// back into the ledger.
+#include "core/submission/ledger.h"
+
+#include <algorithm>
+
+#include "absl/hash/hash.h"
+#include "absl/strings/str_cat.h"
+
+namespace savorytrail::submission {
+
+void ledger::notices::deliver() const {
+    for (const auto& it : listeners) {
+        if (it)
+            it(answer);
+    }
+}
+
+open_result ledger::open(const submission_id& id, std::string digest, shared_job body,
+                         common::time_point expiry, answer_listener listener) {
+    shard& home = shard_of(id);
+    const std::lock_guard lock(home.mutex);
+    const auto found = home.records.find(id);
+    if (found != home.records.end()) {
+        record& it = found->second;
+        // An id that was closed before any submission has no digest, and its answer fits any job.
+        if (!it.digest.empty() && it.digest != digest)
+            return {open_outcome::different_body, nullptr};
+        if (!it.answer)
+            it.listeners.push_back(std::move(listener));
+        return {open_outcome::already_known, it.answer};
+    }
+    if (!reserve())
+        return {open_outcome::memory_full, nullptr};
+
+    m_open++;
+    record& it = home.records[id];
+    it.digest = std::move(digest);
+    it.expiry = expiry;
+    it.tasks.assign(body->tasks.size(), progress::waiting);
+    it.results.resize(body->tasks.size());
+    it.unfinished = body->tasks.size();
+    set_bytes(it, job::size_in_bytes(*body));
+    it.body = std::move(body);
+    it.listeners.push_back(std::move(listener));
+    return {open_outcome::opened, nullptr};
+}
+
+std::optional<shared_answer> ledger::listen(const submission_id& id, answer_listener listener) {
+    shard& home = shard_of(id);
+    const std::lock_guard lock(home.mutex);
+    const auto found = home.records.find(id);
+    if (found == home.records.end())
+        return std::nullopt;
+    if (!found->second.answer)
+        found->second.listeners.push_back(std::move(listener));
+    return found->second.answer;
+}
+
+shared_job ledger::begin_task(const submission_id& id, std::uint32_t task) {
+    shard& home = shard_of(id);
+    const std::lock_guard lock(home.mutex);
+    const auto found = home.records.find(id);
+    if (found == home.records.end())
+        return nullptr;
+    record& it = found->second;
+    if (it.answer || task >= it.tasks.size() || it.tasks[task] != progress::waiting)
+        return nullptr;
+    it.tasks[task] = progress::started;
+    return it.body;
+}
+
+std::optional<std::string> ledger::upstream_of(const submission_id& id) {
+    shard& home = shard_of(id);
+    const std::lock_guard lock(home.mutex);
+    const auto found = home.records.find(id);
+    if (found == home.records.end() || !found->second.body)
+        return std::nullopt;
+    return found->second.body->upstream;
+}
+
+void ledger::end_task(const submission_id& id, std::uint32_t task, task_end end,
+                      job::task_result result) {
+    notices due;
+    {
+        shard& home = shard_of(id);
+        const std::lock_guard lock(home.mutex);
+        const auto found = home.records.find(id);
+        if (found == home.records.end())
+            return;
+        record& it = found->second;
+        if (it.answer || task >= it.tasks.size() || it.tasks[task] != progress::started)
+            return;
+
+        switch (end) {
+        case task_end::not_started:
+            it.tasks[task] = progress::waiting;
+            return;
+        case task_end::failed:
+            it.tasks[task] = progress::ran;
+            due = finish_unsuccessful(
+                it, job::reason::task_failed,
+                absl::StrCat("task ", task, ": the executor answered ", result.status),
+                std::nullopt);
+            break;
+        case task_end::unknown:
+            it.tasks[task] = progress::lost;
+            due = finish_unsuccessful(
+                it, job::reason::task_unknown,
+                absl::StrCat("task ", task, ": it was sent and no answer came"), std::nullopt);
+            break;
+        case task_end::answered:
+            it.tasks[task] = progress::ran;
+            set_bytes(it, it.bytes + result.body.capacity());
+            it.results[task] = std::move(result);
+            it.unfinished--;
+            if (it.unfinished > 0)
+                return;
+            job::answer answer;
+            answer.state = job::answer_state::complete;
+            answer.results = std::move(it.results);
+            due = finish(it, std::move(answer));
+            break;
+        }
+    }
+    due.deliver();
+}
+
+shared_answer ledger::give_up(const submission_id& id, job::reason why, std::string detail,
+                              std::optional<common::milliseconds> retry_after) {
+    notices due;
+    {
+        shard& home = shard_of(id);
+        const std::lock_guard lock(home.mutex);
+        const auto found = home.records.find(id);
+        if (found == home.records.end())
+            return nullptr;
+        if (found->second.answer)
+            return found->second.answer;
+        due = finish_unsuccessful(found->second, why, std::move(detail), retry_after);
+    }
+    due.deliver();
+    return due.answer;
+}
+
+shared_answer ledger::cancel(const submission_id& id, common::time_point expiry) {
+    {
+        shard& home = shard_of(id);
+        const std::lock_guard lock(home.mutex);
+        if (!home.records.contains(id)) {
+            if (!reserve())
+                return nullptr;
+            m_open++;
+            record& it = home.records[id];
+            it.expiry = expiry;
+            return finish_unsuccessful(it, job::reason::cancelled, "cancelled before it came in",
+                                       std::nullopt)
+                .answer;
+        }
+    }
+    return give_up(id, job::reason::cancelled, "cancelled by the caller", std::nullopt);
+}
+
+void ledger::forget_expired(common::time_point now) {
+    for (auto& home : m_shards) {
+        const std::lock_guard lock(home.mutex);
+        absl::erase_if(home.records, [&](auto& entry) {
+            record& it = entry.second;
+            if (!it.answer || now < it.expiry)
+                return false;
+            set_bytes(it, 0);
+            m_records--;
+            return true;
+        });
+    }
+}
+
+ledger_size ledger::size() const {
+    return {m_records.load(), m_open.load(), m_bytes.load()};
+}
+
+ledger::shard& ledger::shard_of(const submission_id& id) {
+    return m_shards.at(absl::Hash<submission_id>()(id) % shard_count);
+}
+
+bool ledger::reserve() {
+    if (m_bytes.load() >= m_limits.max_bytes)
+        return false;
+    if (m_records.fetch_add(1) < m_limits.max_records)
+        return true;
+    m_records--;
+    return false;
+}
+
+void ledger::set_bytes(record& it, std::size_t bytes) {
+    m_bytes += bytes;
+    m_bytes -= it.bytes;
+    it.bytes = bytes;
+}
+
+ledger::notices ledger::finish(record& it, job::answer answer) {
+    set_bytes(it, job::size_in_bytes(answer));
+    it.answer = std::make_shared<const job::answer>(std::move(answer));
+    m_open--;
+    it.body = nullptr;
+    it.results = {};
+    it.tasks.shrink_to_fit();
+    return {it.answer, std::exchange(it.listeners, {})};
+}
+
+ledger::notices ledger::finish_unsuccessful(record& it, job::reason why, std::string detail,
+                                            std::optional<common::milliseconds> retry_after) {
+    constexpr auto to_state = [](progress value) {
+        switch (value) {
+        case progress::waiting:
+            return job::task_state::not_run;
+        case progress::ran:
+            return job::task_state::ran;
+        case progress::started:
+        case progress::lost:
+            return job::task_state::unknown;
+        }
+        return job::task_state::unknown;
+    };
+    job::answer answer;
+    answer.why = why;
+    answer.detail = std::move(detail);
+    answer.retry_after = retry_after;
+    answer.tasks.resize(it.tasks.size());
+    std::transform(it.tasks.begin(), it.tasks.end(), answer.tasks.begin(), to_state);
+    const bool nothing_ran =
+        std::all_of(answer.tasks.begin(), answer.tasks.end(),
+                    [](job::task_state state) { return state == job::task_state::not_run; });
+    answer.state = nothing_ran ? job::answer_state::refused : job::answer_state::failed;
+    return finish(it, std::move(answer));
+}
+
+} // namespace savorytrail::submission
--- /dev/null
+++ b/source/core/submission/submission_id.cpp
@@ -0,0 +1,80 @@
+// Text form of submission ids.
+#include "core/submission/submission_id.h"
+
+#include <openssl/sha.h>
+
+#include <array>
+#include <cstring>
+
+#include "absl/strings/escaping.h"
+#include "absl/strings/str_format.h"
+
+namespace savorytrail::submission {
+namespace {
+
+constexpr std::string_view prefix = "s1_";
+constexpr std::size_t packed_bytes = 40;
+constexpr std::size_t encoded_bytes = 54; // base 64 of 40 bytes without padding
+
+template <typename T>
+void put(std::string& out, T value) {
+    for (int shift = sizeof(T) * 8 - 8; shift >= 0; shift -= 8)
+        out.push_back(static_cast<char>(value >> shift));
+}
+
+template <typename T>
+T take(std::string_view& from) {
+    T value = 0;
+    for (std::size_t i = 0; i < sizeof(T); i++)
+        value = static_cast<T>(value << 8) | static_cast<unsigned char>(from[i]);
+    from.remove_prefix(sizeof(T));
+    return value;
+}
+
+} // namespace
+
+std::string to_string(const incarnation& value) {
+    return absl::StrFormat("%016x%016x", value.high, value.low);
+}
+
+std::string to_string(const submission_id& value) {
+    std::string packed;
+    packed.reserve(packed_bytes);
+    put(packed, value.home.high);
+    put(packed, value.home.low);
+    put(packed, value.vm);
+    put(packed, value.expires_ms);
+    put(packed, value.sequence);
+    put(packed, value.tag);
+    return std::string(prefix) + absl::WebSafeBase64Escape(packed);
+}
+
+std::optional<submission_id> parse_submission_id(std::string_view text) {
+    if (!text.starts_with(prefix) || text.size() != prefix.size() + encoded_bytes)
+        return std::nullopt;
+
+    std::string packed;
+    if (!absl::WebSafeBase64Unescape(std::string(text.substr(prefix.size())), &packed) ||
+        packed.size() != packed_bytes)
+        return std::nullopt;
+
+    std::string_view rest = packed;
+    submission_id id;
+    id.home.high = take<std::uint64_t>(rest);
+    id.home.low = take<std::uint64_t>(rest);
+    id.vm = take<std::uint32_t>(rest);
+    id.expires_ms = take<std::uint32_t>(rest);
+    id.sequence = take<std::uint64_t>(rest);
+    id.tag = take<std::uint64_t>(rest);
+    return id;
+}
+
+std::uint32_t vm_number(std::string_view vm_name) {
+    std::array<unsigned char, SHA256_DIGEST_LENGTH> sum{};
+    SHA256(reinterpret_cast<const unsigned char*>(vm_name.data()), vm_name.size(), sum.data());
+    std::uint32_t n = 0;
+    std::memcpy(&n, sum.data(), sizeof(n));
+    return n;
+}
+
+} // namespace savorytrail::submission
--- /dev/null
+++ b/source/core/submission/submission_id.h
@@ -0,0 +1,50 @@
+// Submission ids. Each names the incarnation that issued it, which is its home: the only process
+// that may ever start the submission's tasks.
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace savorytrail::submission {
+
+// One lifetime of one entry process. Random, so that it is never used again and cannot be guessed.
+struct incarnation {
+    std::uint64_t high = 0;
+    std::uint64_t low = 0;
+
+    auto operator<=>(const incarnation&) const = default;
+
+    template <typename H>
+    friend H AbslHashValue(H state, const incarnation& it) {
+        return H::combine(std::move(state), it.high, it.low);
+    }
+};
+
+std::string to_string(const incarnation& value);
+
+struct submission_id {
+    incarnation home;
+    std::uint32_t vm = 0;         // vm_number() of the home's VM, a hint where to look for it
+    std::uint32_t expires_ms = 0; // by the home's clock, from the start of its incarnation
+    std::uint64_t sequence = 0;   // never used twice by the home
+    std::uint64_t tag = 0;        // keyed by the home; shows that the home issued the id
+
+    auto operator<=>(const submission_id&) const = default;
+
+    template <typename H>
+    friend H AbslHashValue(H state, const submission_id& it) {
+        return H::combine(std::move(state), it.home, it.sequence);
+    }
+};
+
+// "s1_" and 54 characters of URL-safe base 64.
+std::string to_string(const submission_id& value);
+std::optional<submission_id> parse_submission_id(std::string_view text);
+
+// A VM's number within ids: a hash of its name, the same in every process.
+std::uint32_t vm_number(std::string_view vm_name);
+
+} // namespace savorytrail::submission
--- /dev/null
+++ b/source/core/upstream/requester.cpp
@@ -0,0 +1,76 @@
+// Requests to executors, one thread for each that is in flight.
+#include "core/upstream/requester.h"
+
+#include <utility>
+
+#include "core/http/client.h"
+
+namespace savorytrail::upstream {
+namespace {
+
+using submission::task_end;
+
+constexpr int first_server_error = 500;
+
+home::task_outcome to_outcome(const common::result<http::response>& answer,
+                              int not_accepted_status) {
+    home::task_outcome it;
+    if (!answer) {
+        const bool nothing_sent = answer.error() == common::error::unreachable;
+        it.end = nothing_sent ? task_end::not_started : task_end::unknown;
+        return it;
+    }
+    const int status = answer.value().status;
+    it.result = {status, answer.value().body};
+    if (not_accepted_status != 0 && status == not_accepted_status)
+        it.end = task_end::not_started;
+    else
+        it.end = status >= first_server_error ? task_end::failed : task_end::answered;
+    return it;
+}
+
+} // namespace
+
+requester::requester(const common::clock& clock, requester_limits limits, done_handler done)
+    : m_clock(clock), m_limits(limits), m_done(std::move(done)), m_pool(limits.max_threads) {}
+
+requester::~requester() = default;
+
+void requester::send(home::outgoing_task task) {
+    m_pool.run([this, task = std::move(task)] {
+        auto outcome = perform(task);
+        m_done(task, std::move(outcome));
+    });
+}
+
+void requester::shut_down() {
+    m_pool.shut_down();
+}
+
+home::task_outcome requester::perform(const home::outgoing_task& task) {
+    const auto& body = task.body->tasks[task.where.task];
+    http::request message;
+    message.verb = http::method::post;
+    message.path = body.path;
+    message.body = body.body;
+    message.content_type = "application/octet-stream";
+    message.headers = {{"Savory-Task", submission::to_string(task.where.id) + "/" +
+                                           std::to_string(task.where.task)}};
+
+    const auto before = m_clock.now();
+    const auto answer = client_of(task.where.executor->address)->send(message, task.timeout);
+    auto outcome = to_outcome(answer, task.not_accepted_status);
+    outcome.took = std::chrono::duration_cast<common::milliseconds>(m_clock.now() - before);
+    return outcome;
+}
+
+std::shared_ptr<http::client> requester::client_of(const common::endpoint& address) {
+    const std::lock_guard lock(m_mutex);
+    auto& it = m_clients[address.to_string()];
+    if (!it)
+        it = std::make_shared<http::client>(
+            address, http::client_timeouts{m_limits.connect_timeout, common::milliseconds(10000)});
+    return it;
+}
+
+} // namespace savorytrail::upstream
--- /dev/null
+++ b/source/core/upstream/requester.h
@@ -0,0 +1,53 @@
+// Sends tasks to executors over HTTP and reports how each ended. It never sends a task twice.
+#pragma once
+
+#include <memory>
+#include <mutex>
+
+#include "absl/container/flat_hash_map.h"
+#include "core/common/clock.h"
+#include "core/common/endpoint.h"
+#include "core/common/thread_pool.h"
+#include "core/home/home.h"
+
+namespace savorytrail::http {
+class client;
+}
+
+namespace savorytrail::upstream {
+
+struct requester_limits {
+    std::size_t max_threads = 512; // requests in flight
+    common::milliseconds connect_timeout{500};
+
+    bool operator==(const requester_limits&) const = default;
+};
+
+class requester {
+public:
+    using done_handler = std::function<void(const home::outgoing_task&, home::task_outcome)>;
+
+    requester(const common::clock& clock, requester_limits limits, done_handler done);
+    ~requester();
+    requester(const requester&) = delete;
+    requester& operator=(const requester&) = delete;
+
+    // Queues the task for sending; the handler is called exactly once, from another thread.
+    void send(home::outgoing_task task);
+
+    // Waits for the requests in flight.
+    void shut_down();
+
+private:
+    home::task_outcome perform(const home::outgoing_task& task);
+    std::shared_ptr<http::client> client_of(const common::endpoint& address);
+
+    const common::clock& m_clock;
+    const requester_limits m_limits;
+    const done_handler m_done;
+    std::mutex m_mutex;
+    absl::flat_hash_map<std::string, std::shared_ptr<http::client>> m_clients; // guarded by m_mutex
+    common::thread_pool m_pool;
+};
+
+} // namespace savorytrail::upstream
