Settings: one loader for process settings and manifest

Cause: settings and manifest share a schema with units, defaults and ranges in field options, and every bad key has to be refused with file, line and key, all at once.

Ruled out: hand-written readers for each table (the schema would stand twice), and stopping at the first problem.

--- /dev/null
+++ b/source/core/settings/load.h
@@ -0,0 +1,76 @@
+// Fills a schema message from TOML text: defaults, then the file, then assignments from the command
+// line. All problems are found in one pass and returned in file order.
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "core/settings/problem.h"
+#include "core/settings/text.h"
+
+namespace google::protobuf {
+class Message;
+}
+
+namespace savorytrail::schema {
+class entry_settings;
+class manifest;
+} // namespace savorytrail::schema
+
+namespace savorytrail::settings {
+
+// Where each valid value stands. A key that is absent from the file has no entry.
+using position_map = std::map<std::string, position>;
+
+struct filled {
+    std::string file_name;
+    std::vector<problem> problems;
+    position_map positions;
+};
+
+struct input {
+    std::string text;
+    std::string file_name;                // as problems name it
+    std::vector<std::string> assignments; // such as "callers.threads=8"
+
+    bool operator==(const input&) const = default;
+};
+
+// Checks each key on its own. Keys with problems keep their defaults in `out`.
+filled fill(const input& source, google::protobuf::Message& out);
+
+// Checks settings against each other; looks only at values that are valid by themselves.
+std::vector<problem> find_clashes(const schema::entry_settings& value, const filled& from);
+std::vector<problem> find_clashes(const schema::manifest& value, const filled& from);
+
+void sort_in_file_order(std::vector<problem>& problems, const std::string& file_name);
+
+template <class Message>
+struct loaded {
+    Message value;
+    std::vector<problem> problems; // in file order; `value` is for use only when there are none
+
+    bool ok() const { return problems.empty(); }
+};
+
+template <class Message>
+loaded<Message> load(const input& source) {
+    loaded<Message> result;
+    filled from = fill(source, result.value);
+    std::vector<problem> clashes = find_clashes(result.value, from);
+    result.problems = std::move(from.problems);
+    result.problems.insert(result.problems.end(), clashes.begin(), clashes.end());
+    sort_in_file_order(result.problems, source.file_name);
+    return result;
+}
+
+template <class Message>
+loaded<Message> load_file(const std::string& path, std::vector<std::string> assignments = {}) {
+    const common::result<std::string> text = read_file(path);
+    if (!text)
+        return {{}, {{path, 0, 0, "", "cannot be read: " + text.error().message()}}};
+    return load<Message>({text.value(), path, std::move(assignments)});
+}
+
+} // namespace savorytrail::settings
