Stand-ins: platform and executor

Ruled out: cpp-httplib's own connection loop, which wakes every 10 ms for each kept connection and cannot leave a request unanswered; a thread pool of fixed size, which starts every thread at once.

Change: fault_server overrides the connection loop (blocking wait, one send per answer, abandoned or held requests, byte counts with headers) and grows its threads with the open connections. Over it the platform (table, live list with lag and routes, faults, counters) and the executors (slots in order of arrival, log of starts, modes, connection limit).

--- /dev/null
+++ b/source/stand_ins/http/json_body.cpp
@@ -0,0 +1,35 @@
+// JSON bodies in handlers.
+#include "stand_ins/http/json_body.h"
+
+#include <charconv>
+
+namespace savorytrail::stand_ins {
+
+using nlohmann::json;
+
+void answer_json(httplib::Response& response, int status, const json& body) {
+    response.status = status;
+    // Bytes that are not UTF-8 are replaced, so that every body can be echoed.
+    response.set_content(body.dump(-1, ' ', false, json::error_handler_t::replace),
+                         "application/json");
+}
+
+httplib::Server::Handler with_json(json_handler handler) {
+    return [handler = std::move(handler)](const httplib::Request& request,
+                                          httplib::Response& response) {
+        try {
+            handler(request, json::parse(request.body), response);
+        } catch (const json::exception& problem) {
+            answer_json(response, 400, {{"error", problem.what()}});
+        }
+    };
+}
+
+long long number_parameter(const httplib::Request& request, const char* name, long long otherwise) {
+    const auto text = request.get_param_value(name);
+    long long value = otherwise;
+    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), value);
+    return ec == std::errc() ? value : otherwise;
+}
+
+} // namespace savorytrail::stand_ins
--- /dev/null
+++ b/source/stand_ins/platform/live_list.h
@@ -0,0 +1,67 @@
+// The platform's list of VMs. Changes become visible after a lag, each with a revision of its own.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "core/common/clock.h"
+
+namespace savorytrail::stand_ins {
+
+struct vm {
+    std::string name;
+    std::string role; // entry or upstream
+    std::string failure_domain;
+    std::string region;
+    std::string address;
+    std::string state; // live, leaving or gone
+
+    bool operator==(const vm&) const = default;
+};
+
+struct list_answer {
+    std::uint64_t revision = 0;
+    bool complete = false; // the whole list, not only changes
+    std::vector<vm> vms;
+
+    bool operator==(const list_answer&) const = default;
+};
+
+class live_list {
+public:
+    live_list(const common::clock& clock, common::milliseconds lag) : m_clock(clock), m_lag(lag) {}
+
+    void put(vm change);
+    // Gives one reader another address for a VM. Visible at once.
+    void route(const std::string& reader, const std::string& vm_name, std::string address);
+    // The list as `reader` sees it; nullopt when nothing has changed since the revision. The whole
+    // list for revision 0 and for a revision that this list has not reached.
+    std::optional<list_answer> read(std::uint64_t newer_than, const std::string& reader);
+
+private:
+    struct visible_vm {
+        std::uint64_t revision = 0; // of the last change to this VM
+        vm value;
+    };
+    struct pending_vm {
+        common::time_point visible_at;
+        vm value;
+    };
+    void publish_due();
+
+    const common::clock& m_clock;
+    const common::milliseconds m_lag;
+    std::mutex m_mutex;
+    std::uint64_t m_revision = 0;     // guarded by m_mutex, as all below
+    std::deque<pending_vm> m_pending; // ordered by visible_at
+    std::map<std::string, visible_vm> m_vms;
+    std::map<std::pair<std::string, std::string>, std::string> m_routes; // (reader, VM) to address
+};
+
+} // namespace savorytrail::stand_ins
