--- a/source/core/front/front.cpp
+++ b/source/core/front/front.cpp
@@ -69,14 +69,14 @@
 void front::add_routes() {
     using request = httplib::Request;
     using response = httplib::Response;
-    m_server->Post("/v1/submission-ids", serve([this](const request& in) { return issue_ids(in); }));
+    m_server->Post("/v1/submission-ids",
+                   serve([this](const request& in) { return issue_ids(in); }));
     m_server->Put(R"(/v1/jobs/([^/]+))", serve([this](const request& in) { return submit(in); }));
-    m_server->Get(R"(/v1/jobs/([^/]+))", serve([this](const request& in) {
-        return ask(in, peer::request_kind::query);
-    }));
+    m_server->Get(R"(/v1/jobs/([^/]+))",
+                  serve([this](const request& in) { return ask(in, peer::request_kind::query); }));
     m_server->Delete(R"(/v1/jobs/([^/]+))", serve([this](const request& in) {
-        return ask(in, peer::request_kind::cancel);
-    }));
+                         return ask(in, peer::request_kind::cancel);
+                     }));
     m_server->Get("/healthz",
                   [](const request&, response& out) { out.set_content("ok\n", "text/plain"); });
     m_server->Get("/readyz", [this](const request&, response& out) {
--- /dev/null
+++ b/source/core/peer/channels.h
@@ -0,0 +1,31 @@
+// One kept gRPC channel for each peer address, shared by all kinds of calls.
+#pragma once
+
+#include <memory>
+#include <mutex>
+#include <string>
+
+#include "absl/container/flat_hash_map.h"
+#include "core/common/endpoint.h"
+
+namespace grpc {
+class Channel;
+}
+
+namespace savorytrail::peer {
+
+class channels {
+public:
+    channels() = default;
+    channels(const channels&) = delete;
+    channels& operator=(const channels&) = delete;
+
+    std::shared_ptr<grpc::Channel> to(const common::endpoint& address);
+
+private:
+    std::mutex m_mutex;
+    absl::flat_hash_map<std::string, std::shared_ptr<grpc::Channel>>
+        m_channels; // guarded by m_mutex
+};
+
+} // namespace savorytrail::peer
--- /dev/null
+++ b/source/core/peer/forward_service.h
@@ -0,0 +1,33 @@
+// The service by which entries forward callers' requests to the home of a submission id.
+#pragma once
+
+#include <functional>
+#include <memory>
+
+#include "core/peer/types.h"
+
+namespace grpc {
+class Service;
+}
+
+namespace savorytrail::peer {
+
+// Serves forwarded requests. `done` is called once, from any thread, when the result is known; the
+// service itself replies `running` when the request's wait is over before.
+class request_handler {
+public:
+    using done_function = std::function<void(forward_result)>;
+
+    virtual ~request_handler() = default;
+    virtual void handle(forward_request request, done_function done) = 0;
+    virtual submission::incarnation self() const = 0;
+
+protected:
+    request_handler() = default;
+    request_handler(const request_handler&) = default;
+    request_handler& operator=(const request_handler&) = default;
+};
+
+std::unique_ptr<grpc::Service> make_forward_service(request_handler& handler);
+
+} // namespace savorytrail::peer
--- a/source/core/peer/server.h
+++ b/source/core/peer/server.h
@@ -1,45 +1,35 @@
-// Serves calls from other entries over gRPC.
+// The gRPC server for calls from other entries. Each subsystem brings its own service.
 #pragma once
 
-#include <functional>
 #include <memory>
 #include <system_error>
+#include <vector>
 
+#include "core/common/clock.h"
 #include "core/common/endpoint.h"
-#include "core/peer/types.h"
 
-namespace savorytrail::peer {
-
-// Serves forwarded requests. `done` is called once, from any thread, when the result is known; the
-// server itself replies `running` when the request's wait is over before.
-class request_handler {
-public:
-    using done_function = std::function<void(forward_result)>;
+namespace grpc {
+class Server;
+class Service;
+} // namespace grpc
 
-    virtual ~request_handler() = default;
-    virtual void handle(forward_request request, done_function done) = 0;
-    virtual submission::incarnation self() const = 0;
-
-protected:
-    request_handler() = default;
-    request_handler(const request_handler&) = default;
-    request_handler& operator=(const request_handler&) = default;
-};
+namespace savorytrail::peer {
 
 class server {
 public:
-    explicit server(request_handler& handler);
+    server();
     ~server();
     server(const server&) = delete;
     server& operator=(const server&) = delete;
 
-    std::error_code start(const common::endpoint& address);
+    // The services must outlive the server.
+    std::error_code start(const common::endpoint& address,
+                          const std::vector<grpc::Service*>& services);
     // Ends calls that are still open after `grace`.
     void stop(common::milliseconds grace);
 
 private:
-    class service;
-    std::unique_ptr<service> m_service;
+    std::unique_ptr<grpc::Server> m_server;
 };
 
 } // namespace savorytrail::peer
--- a/source/core/routing/home_handler.h
+++ b/source/core/routing/home_handler.h
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "core/home/home.h"
-#include "core/peer/server.h"
+#include "core/peer/forward_service.h"
 
 namespace savorytrail::routing {
 
