Stand-ins: fault-injecting proxy for TCP and UDP

Ruled out: two blocking threads per connection, because a delay then slows every later piece as well and a cut has to close sockets under another thread; counters read without waiting for the handling thread, since the cut_after case then saw a reset before its bytes were counted (5 bytes counted where 10 had been sent).

Change: one thread per route polls its sockets; faults are handed to it and are in force when the control call returns.

--- /dev/null
+++ b/source/stand_ins/proxy/route.h
@@ -0,0 +1,88 @@
+// One route of the proxy: a thread that waits for its sockets and moves what they receive. Only
+// that thread touches sockets; a fault is handed to it and is in force when set_fault() returns.
+#pragma once
+
+#include <condition_variable>
+#include <cstdint>
+#include <mutex>
+#include <optional>
+#include <system_error>
+#include <thread>
+#include <vector>
+
+#include "core/common/clock.h"
+#include "core/common/endpoint.h"
+#include "stand_ins/proxy/proxy_fault.h"
+
+struct pollfd;
+
+namespace savorytrail::stand_ins {
+
+struct route_addresses {
+    common::endpoint listen;
+    common::endpoint target;
+
+    bool operator==(const route_addresses&) const = default;
+};
+
+struct route_counters {
+    std::uint64_t connections = 0; // accepted so far
+    std::uint64_t bytes_to_target = 0;
+    std::uint64_t bytes_from_target = 0;
+    std::uint64_t datagrams = 0; // sent on
+
+    bool operator==(const route_counters&) const = default;
+};
+
+class route {
+public:
+    explicit route(route_addresses addresses) : m_addresses(std::move(addresses)) {}
+    virtual ~route();
+    route(const route&) = delete;
+    route& operator=(const route&) = delete;
+
+    // Binds the listening address and starts forwarding.
+    std::error_code start();
+    // Ends the thread. Derived classes call it in their destructors.
+    void stop();
+
+    std::error_code set_fault(const proxy_fault& fault);
+    route_counters counters() const;
+    const route_addresses& addresses() const { return m_addresses; }
+
+protected:
+    // Called on the route's thread, but for the first open(). apply() and handle() run with the
+    // counters locked.
+    virtual std::error_code open() = 0;
+    virtual std::error_code apply(const proxy_fault& fault) = 0;
+    virtual void add_polls(std::vector<pollfd>& polls) = 0;
+    // Handles the sockets of add_polls(), in the same order.
+    virtual void handle(const std::vector<pollfd>& polls, common::time_point now) = 0;
+    // When the next delayed piece is due.
+    virtual std::optional<common::time_point> next_due() const = 0;
+
+    // For apply() and handle().
+    void count(const route_counters& step);
+
+private:
+    void run();
+    bool apply_wanted();
+    std::error_code apply_locked(const proxy_fault& fault);
+    int timeout_ms() const;
+    void wake() const;
+
+    const route_addresses m_addresses;
+    const common::system_clock m_clock;
+    int m_wake_fd = -1;
+    std::thread m_thread;
+    mutable std::mutex m_mutex;
+    std::condition_variable m_applied;
+    std::optional<proxy_fault> m_wanted; // guarded by m_mutex, as all below; empty once applied
+    std::error_code m_apply_error;
+    bool m_stopped = false;
+    // Held while sockets are handled, so that whoever has seen a byte finds it counted.
+    mutable std::mutex m_handling;
+    route_counters m_counters; // guarded by m_handling
+};
+
+} // namespace savorytrail::stand_ins
