--- a/source/core/entry/entry.cpp
+++ b/source/core/entry/entry.cpp
@@ -1,6 +1,8 @@
 // Assembly, start and stop of an entry.
 #include "core/entry/entry.h"
 
+#include <grpcpp/impl/codegen/service_type.h>
+
 #include <nlohmann/json.hpp>
 
 #include "absl/strings/str_cat.h"
@@ -47,20 +49,21 @@
 } // namespace
 
 entry::entry(const schema::entry_settings& settings)
-    : m_settings(settings), m_ids(settings.node().name(), m_clock, m_random,
-                                  ms(settings.submissions().id_lifetime_ms())),
+    : m_settings(settings),
+      m_ids(settings.node().name(), m_clock, m_random, ms(settings.submissions().id_lifetime_ms())),
       m_ledger({settings.submissions().max_remembered(), settings.submissions().max_kept_bytes()}),
       m_dispatcher(settings.dispatch().policy(), {settings.dispatch().max_queued_tasks()}),
-      m_requester(m_clock,
-                  {settings.dispatch().upstream_threads(),
-                   ms(settings.dispatch().connect_timeout_ms())},
-                  [this](const home::outgoing_task& task, home::task_outcome outcome) {
-                      m_home.task_done(task, std::move(outcome));
-                  }),
+      m_requester(
+          m_clock,
+          {settings.dispatch().upstream_threads(), ms(settings.dispatch().connect_timeout_ms())},
+          [this](const home::outgoing_task& task, home::task_outcome outcome) {
+              m_home.task_done(task, std::move(outcome));
+          }),
       m_home(m_ids, m_ledger, m_dispatcher, m_clock, {},
              [this](home::outgoing_task task) { m_requester.send(std::move(task)); }),
-      m_platform(make_platform_options(settings)), m_peers(ms(settings.peers().call_timeout_ms())),
-      m_home_handler(m_home, m_ids), m_peer_server(m_home_handler),
+      m_platform(make_platform_options(settings)),
+      m_peers(m_channels, ms(settings.peers().call_timeout_ms())), m_home_handler(m_home, m_ids),
+      m_forward_service(peer::make_forward_service(m_home_handler)),
       m_router(settings.node().name(), m_home_handler, m_peers, m_directory),
       m_front(make_front_limits(settings), m_ids, m_router,
               {[this] { return is_ready(); }, [this] { return status_json(); },
@@ -76,7 +79,8 @@
 }
 
 std::error_code entry::start() {
-    if (const auto ec = m_peer_server.start(endpoint_of(m_settings.peers().listen())))
+    if (const auto ec = m_peer_server.start(endpoint_of(m_settings.peers().listen()),
+                                            {m_forward_service.get()}))
         return ec;
     if (const auto ec = m_front.start(endpoint_of(m_settings.callers().listen())))
         return ec;
--- a/source/core/entry/entry.h
+++ b/source/core/entry/entry.h
@@ -18,7 +18,9 @@
 #include "core/front/front.h"
 #include "core/home/home.h"
 #include "core/membership/directory.h"
+#include "core/peer/channels.h"
 #include "core/peer/client.h"
+#include "core/peer/forward_service.h"
 #include "core/peer/server.h"
 #include "core/platform/client.h"
 #include "core/routing/router.h"
@@ -64,8 +66,10 @@
     platform::client m_platform;
     configuration::holder m_configuration;
     membership::directory m_directory;
+    peer::channels m_channels;
     peer::client m_peers;
     routing::home_handler m_home_handler;
+    std::unique_ptr<grpc::Service> m_forward_service;
     peer::server m_peer_server;
     routing::router m_router;
     front::front m_front;
