--- a/source/core/entry/entry.cpp
+++ b/source/core/entry/entry.cpp
@@ -6,7 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include "absl/strings/str_cat.h"
-#include "core/configuration/configuration.h"
+#include "core/configuration/record.h"
 #include "core/entry/shares.h"
 #include "core/telemetry/log.h"
 
--- a/source/core/job/job_json.cpp
+++ b/source/core/job/job_json.cpp
@@ -144,7 +144,9 @@
     try {
         const json value = parse_object(text);
         reject_unknown_keys(value, {"count"}, "");
-        const json& count = member(value, "count", "count");
+        if (!value.contains("count"))
+            return std::size_t{1};
+        const json& count = value["count"];
         if (!count.is_number_unsigned() || count.get<std::uint64_t>() < 1 ||
             count.get<std::uint64_t>() > most)
             reject("count", absl::StrCat("must be a whole number from 1 to ", most));
--- a/source/unit_tests/job/job_json_test.cpp
+++ b/source/unit_tests/job/job_json_test.cpp
@@ -90,12 +90,11 @@
     EXPECT_EQ(n != nullptr ? *n : 0, GetParam().expected);
 }
 
-INSTANTIATE_TEST_SUITE_P(table, count_parsing,
-                         testing::Values(count_case{"", 1}, count_case{R"({"count":10})", 10},
-                                         count_case{R"({"count":11})", 0},
-                                         count_case{R"({"count":0})", 0},
-                                         count_case{R"({"count":"1"})", 0},
-                                         count_case{R"({"n":1})", 0}));
+INSTANTIATE_TEST_SUITE_P(
+    table, count_parsing,
+    testing::Values(count_case{"", 1}, count_case{"{}", 1}, count_case{R"({"count":10})", 10},
+                    count_case{R"({"count":11})", 0}, count_case{R"({"count":0})", 0},
+                    count_case{R"({"count":"1"})", 0}, count_case{R"({"n":1})", 0}));
 
 } // namespace
 } // namespace savorytrail::job
