--- /dev/null
+++ b/source/core/control/explain.h
@@ -0,0 +1,14 @@
+// The story of one job, as the entry that is its home tells it.
+#pragma once
+
+#include <string>
+
+#include "core/control/console.h"
+#include "core/control/environment.h"
+
+namespace savorytrail::control {
+
+exit_status explain(const std::string& job, const common::endpoint& entry, environment& outside,
+                    console& io);
+
+} // namespace savorytrail::control
--- /dev/null
+++ b/source/unit_tests/control/apply_test.cpp
@@ -0,0 +1,185 @@
+// diff and apply: what operators and pipelines are told in each outcome.
+#include "core/control/apply.h"
+
+#include <gtest/gtest.h>
+
+#include "unit_tests/control/fake_environment.h"
+
+namespace savorytrail::control {
+namespace {
+
+using common::error;
+using platform::fault;
+
+constexpr const char* text = R"(teams = [{name = "desk"}]
+[[upstreams]]
+name = "booking"
+executors = [{name = "a", failure_domain = "zilina", address = "10.0.0.1:80"}]
+)";
+
+constexpr const char* status_path = "/v1/status";
+
+http::response status_of(const std::string& vm, int version) {
+    return {200, R"({"vm":")" + vm + R"(","failure_domain":"zilina","ready":true,)" +
+                     R"("configuration_version":)" + std::to_string(version) + "}"};
+}
+
+class apply_test : public testing::Test {
+protected:
+    apply_options options_for(const std::string& author) {
+        apply_options options;
+        options.path = path;
+        options.author = author;
+        return options;
+    }
+
+    exit_status run(const apply_options& options) {
+        console io = output.as_text();
+        return apply(options, outside, io);
+    }
+
+    const std::string path = write_file("apply.toml", text);
+    fake_environment outside;
+    printed output;
+};
+
+TEST_F(apply_test, says_the_version_and_that_no_entry_was_asked) {
+    EXPECT_EQ(run(options_for("pipeline")), exit_status::ok);
+    EXPECT_EQ(output.out.str(), "accepted as version 1\n"
+                                "not asked where it is in force: no --entries given\n");
+}
+
+TEST_F(apply_test, names_who_won_a_conflict_and_when) {
+    run(options_for("anna"));
+    apply_options late = options_for("boris");
+    late.change_id = "b";
+    late.expected_version = 0;
+    EXPECT_EQ(run(late), exit_status::refused);
+    EXPECT_EQ(output.err.str(), "conflict: version 1 by anna at 2026-12-03T22:00:00Z (change "
+                                "00000000000012340000000000001234) is in place; nothing changed\n");
+}
+
+TEST_F(apply_test, prints_a_conflict_as_json) {
+    run(options_for("anna"));
+    printed second;
+    console io = second.as_json();
+    apply_options late = options_for("boris");
+    late.change_id = "b";
+    late.expected_version = 7;
+    EXPECT_EQ(apply(late, outside, io), exit_status::refused);
+    EXPECT_EQ(second.out.str(),
+              R"({"outcome":"conflict","winner":{"applied_at":"2026-12-03T22:00:00Z",)"
+              R"("author":"anna","change_id":"00000000000012340000000000001234","version":1}})"
+              "\n");
+}
+
+TEST_F(apply_test, settles_a_lost_answer) {
+    outside.table.fail_next_commits({{error::timed_out, true}});
+    EXPECT_EQ(run(options_for("pipeline")), exit_status::ok);
+    EXPECT_EQ(outside.table.read_newer("configuration/manifest", 0).value()->version, 1U);
+}
+
+TEST_F(apply_test, says_how_to_find_out_when_the_outcome_is_unknown) {
+    outside.table.fail_next_commits(std::deque<fault>(1000, {error::timed_out, false}));
+    apply_options options = options_for("pipeline");
+    options.change_id = "build-7";
+    EXPECT_EQ(run(options), exit_status::unreachable);
+    EXPECT_NE(output.err.str().find("no answer from the platform; asking again\n"),
+              std::string::npos);
+    EXPECT_TRUE(output.err.str().ends_with(
+        "error: not known whether the change was accepted (no answer within the time bound); to "
+        "find out, apply it again with --change-id build-7\n"))
+        << output.err.str();
+}
+
+TEST_F(apply_test, says_that_nothing_changed_when_the_platform_is_out) {
+    outside.table.fail_next_reads({{error::unavailable, false}});
+    EXPECT_EQ(run(options_for("pipeline")), exit_status::unreachable);
+    EXPECT_EQ(output.err.str(), "error: platform: unavailable; nothing changed\n");
+}
+
+TEST_F(apply_test, refuses_an_invalid_manifest_before_asking_the_platform) {
+    apply_options options = options_for("pipeline");
+    options.path = write_file("bad.toml", "teams = 1\n");
+    EXPECT_EQ(run(options), exit_status::bad_input);
+    EXPECT_EQ(output.err.str(), options.path + ":1:9: teams: expected a list of tables [[teams]], "
+                                               "found 1\n");
+    EXPECT_EQ(outside.table.reads(), 0);
+}
+
+struct spread_case {
+    const char* name;
+    std::map<std::string, http::response> answers;
+    std::map<std::string, http::response> later_answers;
+    exit_status expected;
+    std::string out;
+    std::string err;
+};
+
+std::ostream& operator<<(std::ostream& out, const spread_case& it) {
+    return out << it.name;
+}
+
+class spreads : public testing::TestWithParam<spread_case> {};
+
+TEST_P(spreads, are_waited_for_and_counted) {
+    fake_environment outside;
+    outside.answers = GetParam().answers;
+    outside.later_answers = GetParam().later_answers;
+    outside.answers_change_after = common::milliseconds(1500);
+    printed output;
+    console io = output.as_text();
+    apply_options options;
+    options.path = write_file("spread.toml", text);
+    options.entries = {{"10.1.0.1", 80}, {"10.1.0.2", 80}};
+    options.wait = common::milliseconds(2000);
+    EXPECT_EQ(apply(options, outside, io), GetParam().expected);
+    EXPECT_EQ(output.out.str(), GetParam().out);
+    EXPECT_EQ(output.err.str(), GetParam().err);
+}
+
+const std::string first = std::string("10.1.0.1:80") + status_path;
+const std::string second = std::string("10.1.0.2:80") + status_path;
+
+const spread_case spread_cases[] = {
+    {"at_once",
+     {{first, status_of("entry-1", 1)}, {second, status_of("entry-2", 2)}},
+     {},
+     exit_status::ok,
+     "accepted as version 1\nin force on 2 of 2\n",
+     ""},
+    {"after_a_while",
+     {{first, status_of("entry-1", 1)}},
+     {{second, status_of("entry-2", 1)}},
+     exit_status::ok,
+     "accepted as version 1\nin force on 2 of 2\n",
+     "waiting: in force on 1 of 2\n"},
+    {"not_in_time",
+     {{first, status_of("entry-1", 0)}},
+     {},
+     exit_status::not_in_force,
+     "accepted as version 1\nin force on 0 of 2\n",
+     "waiting: in force on 0 of 2\n"
+     "  entry-1 at 10.1.0.1:80: version 0\n"
+     "  10.1.0.2:80: not reached, nothing was sent\n"},
+};
+
+INSTANTIATE_TEST_SUITE_P(apply, spreads, testing::ValuesIn(spread_cases),
+                         [](const auto& it) { return std::string(it.param.name); });
+
+TEST_F(apply_test, diff_shows_changes_against_what_is_in_place) {
+    console io = output.as_text();
+    EXPECT_EQ(diff(path, {}, outside, io), exit_status::ok);
+    EXPECT_NE(output.out.str().find("+ executor booking/a\n"), std::string::npos);
+    EXPECT_NE(output.out.str().find(" changes against an empty configuration\n"),
+              std::string::npos);
+    run(options_for("pipeline"));
+
+    printed after;
+    console io_after = after.as_text();
+    EXPECT_EQ(diff(path, {}, outside, io_after), exit_status::ok);
+    EXPECT_EQ(after.out.str(), "0 changes against version 1\n");
+}
+
+} // namespace
+} // namespace savorytrail::control
--- /dev/null
+++ b/source/unit_tests/control/explain_test.cpp
@@ -0,0 +1,86 @@
+// The story of a job.
+#include "core/control/explain.h"
+
+#include <gtest/gtest.h>
+
+#include "unit_tests/control/fake_environment.h"
+
+namespace savorytrail::control {
+namespace {
+
+const common::endpoint entry{"10.1.0.1", 80};
+
+struct explain_case {
+    const char* name;
+    std::string job;
+    http::response answer;
+    exit_status expected;
+    std::string out;
+    std::string err;
+};
+
+std::ostream& operator<<(std::ostream& out, const explain_case& it) {
+    return out << it.name;
+}
+
+class stories : public testing::TestWithParam<explain_case> {};
+
+TEST_P(stories, are_told_or_refused) {
+    fake_environment outside;
+    outside.answers["10.1.0.1:80/v1/jobs/j-1/story"] = GetParam().answer;
+    printed output;
+    console io = output.as_text();
+    EXPECT_EQ(explain(GetParam().job, entry, outside, io), GetParam().expected);
+    EXPECT_EQ(output.out.str(), GetParam().out);
+    EXPECT_EQ(output.err.str(), GetParam().err);
+}
+
+const explain_case cases[] = {
+    {"known",
+     "j-1",
+     {200, R"({"events":[{"at_ms":1000,"event":"received","detail":"by entry-2"},)"
+           R"({"at_ms":1012,"event":"task_started","detail":"0 on b-1","extra":1},)"
+           R"({"at_ms":1112,"event":"finished"}]})"},
+     exit_status::ok,
+     "       0 ms  received              by entry-2\n"
+     "      12 ms  task_started          0 on b-1\n"
+     "     112 ms  finished              \n",
+     ""},
+    {"without_events", "j-1", {200, R"({"events":[]})"}, exit_status::ok, "", ""},
+    {"unknown",
+     "j-1",
+     {404, ""},
+     exit_status::refused,
+     "",
+     "error: no story of job j-1: entry answered with status 404\n"},
+    {"entry_in_trouble",
+     "j-1",
+     {503, ""},
+     exit_status::unreachable,
+     "",
+     "error: entry answered with status 503\n"},
+    {"not_json",
+     "j-1",
+     {200, "?"},
+     exit_status::refused,
+     "",
+     "error: entry's answer cannot be read\n"},
+    {"unreachable",
+     "j-2",
+     {200, ""},
+     exit_status::unreachable,
+     "",
+     "error: entry 10.1.0.1:80: not reached, nothing was sent\n"},
+    {"no_job_id",
+     "../status",
+     {200, ""},
+     exit_status::bad_input,
+     "",
+     "error: not a job id: ../status\n"},
+};
+
+INSTANTIATE_TEST_SUITE_P(explain, stories, testing::ValuesIn(cases),
+                         [](const auto& it) { return std::string(it.param.name); });
+
+} // namespace
+} // namespace savorytrail::control
