Ledger and home: ids past their lifetime, leaving upstreams, a closing that is final

Cause: a thread that found an id valid, then was paused until the id's record was forgotten, recorded it anew and started its tasks a second time; the lifetime is now checked under the shard's lock, against the time up to which records were forgotten. An expired id that was still remembered was answered without comparing its body. A submission cancelled during its admission left its tasks in the queue. Submissions of an upstream or team that leaves the manifest waited for their deadline; they are given up when the manifest comes into force, or when a start is refused for it, unless all their tasks have started. Polls without a wait left a listener each. forget_expired() visited every record at each tick; it now takes the due ones from an ordered set. Records count a fixed overhead against the bound.

--- a/source/core/home/home.cpp
+++ b/source/core/home/home.cpp
@@ -6,6 +6,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "core/job/job_codec.h"
+#include "core/submission/answers.h"
 
 namespace savorytrail::home {
 namespace {
@@ -23,16 +24,6 @@
     return std::make_shared<const job::answer>(std::move(it));
 }
 
-// The home no longer remembers what became of an expired id, so every task is unknown.
-submission::shared_answer make_expired_answer(std::size_t tasks) {
-    job::answer it;
-    it.state = job::answer_state::failed;
-    it.why = job::reason::id_expired;
-    it.detail = "the submission id is past its lifetime; nothing more starts under it";
-    it.tasks.assign(tasks, job::task_state::unknown);
-    return std::make_shared<const job::answer>(std::move(it));
-}
-
 request_result answered(submission::shared_answer answer) {
     return {request_outcome::answered, std::move(answer)};
 }
@@ -49,37 +40,19 @@
     if (!m_ids.is_genuine(id))
         return {request_outcome::forged, nullptr};
     const std::size_t task_count = job.tasks.size();
-    if (m_ids.is_expired(id)) {
-        // What is still remembered of an expired id is still answered.
-        const auto known = m_ledger.listen(id, std::move(listener));
-        if (!known)
-            return answered(make_expired_answer(task_count));
-        return *known ? answered(*known) : request_result{request_outcome::waiting, nullptr};
-    }
-
     std::string digest = job::digest(job);
     const auto body = std::make_shared<const job::job>(std::move(job));
-    const auto opened =
-        m_ledger.open(id, std::move(digest), body, m_ids.expiry(id), std::move(listener));
-    switch (opened.outcome) {
-    case submission::open_outcome::different_body:
-        return {request_outcome::different_body, nullptr};
-    case submission::open_outcome::memory_full:
-        return answered(make_answer(job::answer_state::unavailable, job::reason::memory_full,
-                                    "this entry cannot remember one more submission",
-                                    memory_retry));
-    case submission::open_outcome::already_known:
-        if (opened.answer)
-            return answered(opened.answer);
-        return {request_outcome::waiting, nullptr};
-    case submission::open_outcome::opened:
-        break;
-    }
+    const auto opened = m_ledger.open(id, std::move(digest), body, m_ids.expiry(id), m_clock.now(),
+                                      std::move(listener));
+    if (opened.outcome != submission::open_outcome::opened)
+        return closed_or_known(opened, task_count);
 
     std::vector<dispatch::start> starts;
     const auto verdict = admit(id, body, starts);
     if (!verdict.is_accepted)
         m_ledger.give_up(id, verdict.why, verdict.detail, verdict.retry_after);
+    else if (!m_ledger.upstream_of(id))
+        m_dispatcher.cancel(body->upstream, id); // closed by another thread during the admission
     send(std::move(starts));
     return {request_outcome::waiting, nullptr};
 }
@@ -92,7 +65,7 @@
     if (known)
         return *known ? answered(*known) : request_result{request_outcome::waiting, nullptr};
     if (m_ids.is_expired(id))
-        return answered(make_expired_answer(0));
+        return answered(submission::make_expired_answer(0));
     return answered(make_answer(job::answer_state::unavailable, job::reason::never_submitted,
                                 "nothing was submitted under this id yet"));
 }
@@ -100,18 +73,33 @@
 request_result home::cancel(const submission::submission_id& id) {
     if (!m_ids.is_genuine(id))
         return {request_outcome::forged, nullptr};
-    if (m_ids.is_expired(id) && !m_ledger.listen(id, nullptr))
-        return answered(make_expired_answer(0));
-
     const auto upstream = m_ledger.upstream_of(id);
-    const auto answer = m_ledger.cancel(id, m_ids.expiry(id));
-    if (!answer)
+    const auto cancelled = m_ledger.cancel(id, m_ids.expiry(id), m_clock.now());
+    if (upstream)
+        m_dispatcher.cancel(*upstream, id);
+    return closed_or_known(cancelled, 0);
+}
+
+request_result home::closed_or_known(const submission::open_result& opened,
+                                     std::size_t tasks) const {
+    switch (opened.outcome) {
+    case submission::open_outcome::different_body:
+        return {request_outcome::different_body, nullptr};
+    case submission::open_outcome::memory_full:
         return answered(make_answer(job::answer_state::unavailable, job::reason::memory_full,
                                     "this entry cannot remember one more submission",
                                     memory_retry));
-    if (upstream)
-        m_dispatcher.cancel(*upstream, id);
-    return answered(answer);
+    case submission::open_outcome::expired:
+        return answered(submission::make_expired_answer(tasks));
+    case submission::open_outcome::closed:
+        return answered(submission::make_never_submitted_answer(tasks));
+    case submission::open_outcome::already_known:
+    case submission::open_outcome::opened:
+        break;
+    }
+    if (opened.answer)
+        return answered(opened.answer);
+    return {request_outcome::waiting, nullptr};
 }
 
 void home::task_done(const outgoing_task& task, task_outcome outcome) {
@@ -143,8 +131,29 @@
 }
 
 void home::apply(std::shared_ptr<const manifest::manifest> manifest) {
-    const std::lock_guard lock(m_manifest_mutex);
-    m_manifest = std::move(manifest);
+    {
+        const std::lock_guard lock(m_manifest_mutex);
+        m_manifest = manifest;
+    }
+    // A submission that is recorded after this point is admitted under the new manifest.
+    const auto is_gone = [&manifest](const job::job& it) {
+        return manifest->find_upstream(it.upstream) == nullptr ||
+               manifest->find_team(it.team) == nullptr;
+    };
+    for (const auto& id : m_ledger.find_waiting(is_gone)) {
+        const auto upstream = m_ledger.upstream_of(id);
+        const bool has_upstream = upstream && manifest->find_upstream(*upstream) != nullptr;
+        m_ledger.give_up(
+            id, has_upstream ? job::reason::unknown_team : job::reason::unknown_upstream,
+            "the manifest no longer names the job's upstream or team", std::nullopt);
+        if (upstream)
+            m_dispatcher.cancel(*upstream, id);
+    }
+}
+
+void home::close() {
+    m_is_stopping = true;
+    m_ledger.close(job::reason::stopping, "the entry stopped before every task had ended");
 }
 
 void home::set_executors(const std::string& upstream,
@@ -195,7 +204,10 @@
         const dispatch::start it = starts[i];
         const auto manifest = current_manifest();
         const auto* upstream = manifest ? manifest->find_upstream(it.upstream) : nullptr;
-        auto body = upstream != nullptr ? m_ledger.begin_task(it.id, it.task) : nullptr;
+        if (upstream == nullptr)
+            m_ledger.give_up(it.id, job::reason::unknown_upstream,
+                             "the manifest no longer names the job's upstream", std::nullopt);
+        auto body = m_ledger.begin_task(it.id, it.task);
         if (!body) {
             drop(it, starts);
             continue;
--- a/source/core/home/home.h
+++ b/source/core/home/home.h
@@ -69,13 +69,16 @@
     // Reports the end of an outgoing task. Called exactly once for each.
     void task_done(const outgoing_task& task, task_outcome outcome);
 
-    // Puts a manifest in force.
+    // Puts a manifest in force. Submissions with waiting tasks whose upstream or team it no longer
+    // names are given up at once; those whose tasks have all started run to their end.
     void apply(std::shared_ptr<const manifest::manifest> manifest);
     void set_executors(const std::string& upstream,
                        const std::vector<dispatch::executor_share>& shares);
 
     // From now on every new submission is refused. Part of a planned stop.
     void stop_admitting() { m_is_stopping = true; }
+    // From now on nothing starts: what is still open is given up, and every answer stands.
+    void close();
     // Submissions without a final answer.
     std::size_t open_submissions() const { return m_ledger.size().open; }
     // Requests that are out at executors.
@@ -85,6 +88,7 @@
     void tick();
 
 private:
+    request_result closed_or_known(const submission::open_result& opened, std::size_t tasks) const;
     dispatch::verdict admit(const submission::submission_id& id, const submission::shared_job& job,
                             std::vector<dispatch::start>& starts);
     void send(std::vector<dispatch::start> starts);
--- a/source/core/peer/client.h
+++ b/source/core/peer/client.h
@@ -8,16 +8,30 @@
 
 namespace savorytrail::peer {
 
-class client {
+// The way to other entries, as routing sees it.
+class forwarder {
+public:
+    virtual ~forwarder() = default;
+
+    // error::timed_out, or error::unavailable when the peer was not reached or broke off: in both
+    // cases the request may have arrived.
+    virtual common::result<forward_result> forward(const common::endpoint& to,
+                                                   const forward_request& request) = 0;
+
+protected:
+    forwarder() = default;
+    forwarder(const forwarder&) = default;
+    forwarder& operator=(const forwarder&) = default;
+};
+
+class client final : public forwarder {
 public:
     // `call_timeout` bounds a call beyond the wait that it carries.
     client(channels& channels, common::milliseconds call_timeout)
         : m_channels(channels), m_call_timeout(call_timeout) {}
 
-    // error::timed_out, or error::unavailable when the peer was not reached or broke off: in both
-    // cases the request may have arrived.
     common::result<forward_result> forward(const common::endpoint& to,
-                                           const forward_request& request);
+                                           const forward_request& request) override;
 
 private:
     channels& m_channels;
--- a/source/core/routing/home_handler.cpp
+++ b/source/core/routing/home_handler.cpp
@@ -12,14 +12,22 @@
         return;
     }
 
-    const auto result =
-        ask_home(request, [done, reply](const submission::shared_answer& answer) mutable {
+    // A call that does not wait leaves no listener behind, so that polling costs no memory.
+    const bool waits = request.wait > common::milliseconds(0);
+    submission::answer_listener listener;
+    if (waits) {
+        listener = [done, reply](const submission::shared_answer& answer) mutable {
             reply.answer = *answer;
             done(std::move(reply));
-        });
+        };
+    }
+    const auto result = ask_home(request, std::move(listener));
     switch (result.outcome) {
     case home::request_outcome::waiting:
-        return;
+        if (waits)
+            return;
+        reply.answer.why = job::reason::wait_over;
+        break;
     case home::request_outcome::answered:
         reply.answer = *result.answer;
         break;
--- a/source/core/submission/issuer.cpp
+++ b/source/core/submission/issuer.cpp
@@ -1,5 +1,5 @@
 // Issuing and checking of submission ids. The tag is an HMAC under a key that dies with the
-// process, so nobody else can make an id that this home would start tasks for.
+// process and its successors, so nobody else can make an id that this home would start tasks for.
 #include "core/submission/issuer.h"
 
 #include <openssl/evp.h>
@@ -28,25 +28,30 @@
     ids.reserve(count);
     for (std::size_t i = 0; i < count; i++) {
         submission_id id{m_self, m_vm, expires, sequence++, 0};
-        id.tag = tag_of(id);
+        id.tag = tag_of(id, m_key);
         ids.push_back(id);
     }
     return ids;
 }
 
 bool issuer::is_genuine(const submission_id& id) const {
-    return id.home == m_self && id.vm == m_vm && id.tag == tag_of(id);
+    return id.home == m_self && id.vm == m_vm && id.tag == tag_of(id, m_key);
 }
 
 common::time_point issuer::expiry(const submission_id& id) const {
     return m_started + common::milliseconds(id.expires_ms);
 }
 
-std::uint64_t issuer::tag_of(const submission_id& id) const {
+issuing_range issuer::range() const {
+    const auto age = std::chrono::duration_cast<common::milliseconds>(m_clock.now() - m_started);
+    return {m_self, m_vm, m_key, age, m_lifetime};
+}
+
+std::uint64_t tag_of(const submission_id& id, const issuing_key& key) {
     const std::array<std::uint64_t, 2> message = {id.sequence, id.expires_ms};
     std::array<unsigned char, EVP_MAX_MD_SIZE> sum{};
     unsigned int n = 0;
-    HMAC(EVP_sha256(), m_key.data(), m_key.size(),
+    HMAC(EVP_sha256(), key.data(), key.size(),
          reinterpret_cast<const unsigned char*>(message.data()), sizeof(message), sum.data(), &n);
     std::uint64_t tag = 0;
     std::memcpy(&tag, sum.data(), sizeof(tag));
--- a/source/core/submission/issuer.h
+++ b/source/core/submission/issuer.h
@@ -11,6 +11,22 @@
 
 namespace savorytrail::submission {
 
+using issuing_key = std::array<unsigned char, 32>;
+
+// The tag of an id issued under the key.
+std::uint64_t tag_of(const submission_id& id, const issuing_key& key);
+
+// What a successor needs to recognise the ids of an incarnation that has stopped.
+struct issuing_range {
+    incarnation home;
+    std::uint32_t vm = 0;
+    issuing_key key{};
+    common::milliseconds age{0};      // of the incarnation when it stopped
+    common::milliseconds lifetime{0}; // of an id
+
+    bool operator==(const issuing_range&) const = default;
+};
+
 class issuer {
 public:
     issuer(std::string_view vm_name, const common::clock& clock, common::random_source& random,
@@ -27,15 +43,15 @@
     common::time_point expiry(const submission_id& id) const;
     bool is_expired(const submission_id& id) const { return m_clock.now() >= expiry(id); }
 
-private:
-    std::uint64_t tag_of(const submission_id& id) const;
+    issuing_range range() const;
 
+private:
     const common::clock& m_clock;
     const common::time_point m_started;
     const common::milliseconds m_lifetime;
     const incarnation m_self;
     const std::uint32_t m_vm;
-    std::array<unsigned char, 32> m_key{};    // never leaves the process
+    issuing_key m_key{};                      // leaves the process only for its successor
     std::atomic<std::uint64_t> m_sequence{1}; // only grows
 };
 
--- a/source/core/submission/ledger.cpp
+++ b/source/core/submission/ledger.cpp
@@ -8,6 +8,12 @@
 #include "absl/strings/str_cat.h"
 
 namespace savorytrail::submission {
+namespace {
+
+// Memory of one record beside its job or answer: the map's and the expiry set's entries.
+constexpr std::size_t record_bytes = 400;
+
+} // namespace
 
 void ledger::notices::deliver() const {
     for (const auto& it : listeners) {
@@ -17,7 +23,8 @@
 }
 
 open_result ledger::open(const submission_id& id, std::string digest, shared_job body,
-                         common::time_point expiry, answer_listener listener) {
+                         common::time_point expiry, common::time_point now,
+                         answer_listener listener) {
     shard& home = shard_of(id);
     const std::lock_guard lock(home.mutex);
     const auto found = home.records.find(id);
@@ -26,12 +33,12 @@
         // An id that was closed before any submission has no digest, and its answer fits any job.
         if (!it.digest.empty() && it.digest != digest)
             return {open_outcome::different_body, nullptr};
-        if (!it.answer)
+        if (!it.answer && listener)
             it.listeners.push_back(std::move(listener));
         return {open_outcome::already_known, it.answer};
     }
-    if (!reserve())
-        return {open_outcome::memory_full, nullptr};
+    if (const auto why = may_record(home, expiry, now); why != open_outcome::opened)
+        return {why, nullptr};
 
     m_open++;
     record& it = home.records[id];
@@ -40,9 +47,10 @@
     it.tasks.assign(body->tasks.size(), progress::waiting);
     it.results.resize(body->tasks.size());
     it.unfinished = body->tasks.size();
-    set_bytes(it, job::size_in_bytes(*body));
+    set_bytes(it, record_bytes + job::size_in_bytes(*body));
     it.body = std::move(body);
-    it.listeners.push_back(std::move(listener));
+    if (listener)
+        it.listeners.push_back(std::move(listener));
     return {open_outcome::opened, nullptr};
 }
 
@@ -52,7 +60,7 @@
     const auto found = home.records.find(id);
     if (found == home.records.end())
         return std::nullopt;
-    if (!found->second.answer)
+    if (!found->second.answer && listener)
         found->second.listeners.push_back(std::move(listener));
     return found->second.answer;
 }
@@ -64,7 +72,8 @@
     if (found == home.records.end())
         return nullptr;
     record& it = found->second;
-    if (it.answer || task >= it.tasks.size() || it.tasks[task] != progress::waiting)
+    if (home.is_closed || it.answer || task >= it.tasks.size() ||
+        it.tasks[task] != progress::waiting)
         return nullptr;
     it.tasks[task] = progress::started;
     return it.body;
@@ -99,14 +108,14 @@
         case task_end::failed:
             it.tasks[task] = progress::ran;
             due = finish_unsuccessful(
-                it, job::reason::task_failed,
+                home, id, it, job::reason::task_failed,
                 absl::StrCat("task ", task, ": the executor answered ", result.status),
                 std::nullopt);
             break;
         case task_end::unknown:
             it.tasks[task] = progress::lost;
             due = finish_unsuccessful(
-                it, job::reason::task_unknown,
+                home, id, it, job::reason::task_unknown,
                 absl::StrCat("task ", task, ": it was sent and no answer came"), std::nullopt);
             break;
         case task_end::answered:
@@ -119,7 +128,7 @@
             job::answer answer;
             answer.state = job::answer_state::complete;
             answer.results = std::move(it.results);
-            due = finish(it, std::move(answer));
+            due = finish(home, id, it, std::move(answer));
             break;
         }
     }
@@ -137,41 +146,87 @@
             return nullptr;
         if (found->second.answer)
             return found->second.answer;
-        due = finish_unsuccessful(found->second, why, std::move(detail), retry_after);
+        due = finish_unsuccessful(home, id, found->second, why, std::move(detail), retry_after);
     }
     due.deliver();
     return due.answer;
 }
 
-shared_answer ledger::cancel(const submission_id& id, common::time_point expiry) {
+open_result ledger::cancel(const submission_id& id, common::time_point expiry,
+                           common::time_point now) {
     {
         shard& home = shard_of(id);
         const std::lock_guard lock(home.mutex);
         if (!home.records.contains(id)) {
-            if (!reserve())
-                return nullptr;
+            if (const auto why = may_record(home, expiry, now); why != open_outcome::opened)
+                return {why, nullptr};
             m_open++;
             record& it = home.records[id];
             it.expiry = expiry;
-            return finish_unsuccessful(it, job::reason::cancelled, "cancelled before it came in",
-                                       std::nullopt)
-                .answer;
+            auto due = finish_unsuccessful(home, id, it, job::reason::cancelled,
+                                           "cancelled before it came in", std::nullopt);
+            return {open_outcome::already_known, std::move(due.answer)};
         }
     }
-    return give_up(id, job::reason::cancelled, "cancelled by the caller", std::nullopt);
+    auto answer = give_up(id, job::reason::cancelled, "cancelled by the caller", std::nullopt);
+    const auto outcome = answer ? open_outcome::already_known : open_outcome::expired;
+    return {outcome, std::move(answer)};
+}
+
+std::vector<submission_id>
+ledger::find_waiting(const std::function<bool(const job::job&)>& predicate) {
+    std::vector<submission_id> ids;
+    for (auto& home : m_shards) {
+        const std::lock_guard lock(home.mutex);
+        for (const auto& [id, it] : home.records) {
+            if (it.answer || !predicate(*it.body))
+                continue;
+            if (std::find(it.tasks.begin(), it.tasks.end(), progress::waiting) != it.tasks.end())
+                ids.push_back(id);
+        }
+    }
+    return ids;
+}
+
+void ledger::close(job::reason why, const std::string& detail) {
+    for (auto& home : m_shards) {
+        std::vector<notices> due;
+        {
+            const std::lock_guard lock(home.mutex);
+            home.is_closed = true;
+            for (auto& [id, it] : home.records) {
+                if (!it.answer)
+                    due.push_back(finish_unsuccessful(home, id, it, why, detail, std::nullopt));
+            }
+        }
+        for (const auto& it : due)
+            it.deliver();
+    }
+}
+
+std::vector<remembered> ledger::remembered_submissions() const {
+    std::vector<remembered> all;
+    for (const auto& home : m_shards) {
+        const std::lock_guard lock(home.mutex);
+        for (const auto& [id, it] : home.records) {
+            if (it.answer)
+                all.push_back({id, it.digest, it.expiry, it.answer});
+        }
+    }
+    return all;
 }
 
 void ledger::forget_expired(common::time_point now) {
     for (auto& home : m_shards) {
         const std::lock_guard lock(home.mutex);
-        absl::erase_if(home.records, [&](auto& entry) {
-            record& it = entry.second;
-            if (!it.answer || now < it.expiry)
-                return false;
-            set_bytes(it, 0);
+        home.forgotten_until = std::max(home.forgotten_until, now);
+        while (!home.expiries.empty() && home.expiries.begin()->first <= now) {
+            const auto found = home.records.find(home.expiries.begin()->second);
+            set_bytes(found->second, 0);
             m_records--;
-            return true;
-        });
+            home.records.erase(found);
+            home.expiries.erase(home.expiries.begin());
+        }
     }
 }
 
@@ -183,6 +238,15 @@
     return m_shards.at(absl::Hash<submission_id>()(id) % shard_count);
 }
 
+open_outcome ledger::may_record(const shard& home, common::time_point expiry,
+                                common::time_point now) {
+    if (expiry <= std::max(now, home.forgotten_until))
+        return open_outcome::expired;
+    if (home.is_closed)
+        return open_outcome::closed;
+    return reserve() ? open_outcome::opened : open_outcome::memory_full;
+}
+
 bool ledger::reserve() {
     if (m_bytes.load() >= m_limits.max_bytes)
         return false;
@@ -198,8 +262,10 @@
     it.bytes = bytes;
 }
 
-ledger::notices ledger::finish(record& it, job::answer answer) {
-    set_bytes(it, job::size_in_bytes(answer));
+ledger::notices ledger::finish(shard& home, const submission_id& id, record& it,
+                               job::answer answer) {
+    set_bytes(it, record_bytes + job::size_in_bytes(answer));
+    home.expiries.insert({it.expiry, id});
     it.answer = std::make_shared<const job::answer>(std::move(answer));
     m_open--;
     it.body = nullptr;
@@ -208,7 +274,8 @@
     return {it.answer, std::exchange(it.listeners, {})};
 }
 
-ledger::notices ledger::finish_unsuccessful(record& it, job::reason why, std::string detail,
+ledger::notices ledger::finish_unsuccessful(shard& home, const submission_id& id, record& it,
+                                            job::reason why, std::string detail,
                                             std::optional<common::milliseconds> retry_after) {
     constexpr auto to_state = [](progress value) {
         switch (value) {
@@ -232,7 +299,7 @@
         std::all_of(answer.tasks.begin(), answer.tasks.end(),
                     [](job::task_state state) { return state == job::task_state::not_run; });
     answer.state = nothing_ran ? job::answer_state::refused : job::answer_state::failed;
-    return finish(it, std::move(answer));
+    return finish(home, id, it, std::move(answer));
 }
 
 } // namespace savorytrail::submission
--- a/source/core/submission/ledger.h
+++ b/source/core/submission/ledger.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -35,6 +36,8 @@
     already_known,  // a resubmission; `answer` is set when it is final
     different_body, // the id stands for another job
     memory_full,    // nothing was recorded
+    expired,        // nothing is recorded: the id is past its lifetime
+    closed,         // nothing is recorded: the ledger was closed for good
 };
 
 struct open_result {
@@ -50,6 +53,16 @@
     not_started, // provably nothing reached the executor; the task may be started again
 };
 
+// A final submission, as it is handed over.
+struct remembered {
+    submission_id id;
+    std::string digest; // empty for an id that was closed before any submission
+    common::time_point expiry;
+    shared_answer answer;
+
+    bool operator==(const remembered&) const = default;
+};
+
 struct ledger_size {
     std::size_t records = 0;
     std::size_t open = 0; // of the records: without a final answer yet
@@ -65,9 +78,9 @@
     ledger& operator=(const ledger&) = delete;
 
     // Records the first submission under an id, or recognises a further one. `listener` is called
-    // once with the final answer, unless the result already carries it.
+    // once with the final answer, unless the result already carries it; it may be empty.
     open_result open(const submission_id& id, std::string digest, shared_job body,
-                     common::time_point expiry, answer_listener listener);
+                     common::time_point expiry, common::time_point now, answer_listener listener);
 
     // Adds a listener; nullopt when nothing is recorded under the id. A final answer is returned at
     // once and the listener dropped.
@@ -77,7 +90,7 @@
     // otherwise nullptr, and the task must not be sent.
     shared_job begin_task(const submission_id& id, std::uint32_t task);
 
-    // The upstream of an open submission.
+    // The upstream of an open submission; nullopt when it is final or not recorded.
     std::optional<std::string> upstream_of(const submission_id& id);
 
     void end_task(const submission_id& id, std::uint32_t task, task_end end,
@@ -89,10 +102,19 @@
                           std::optional<common::milliseconds> retry_after);
 
     // As give_up, but also closes an id under which nothing was submitted yet, so that a copy that
-    // arrives later starts nothing.
-    shared_answer cancel(const submission_id& id, common::time_point expiry);
+    // arrives later starts nothing. The outcome is already_known with the answer that stands, or
+    // memory_full, expired or closed.
+    open_result cancel(const submission_id& id, common::time_point expiry, common::time_point now);
+
+    // Open submissions with a task that waits, whose job fulfils the predicate.
+    std::vector<submission_id> find_waiting(const std::function<bool(const job::job&)>& predicate);
+
+    // Gives up every open submission and from now on starts and records nothing. Everything is then
+    // final, so that remembered_submissions() is the same whenever it is called until an expiry.
+    void close(job::reason why, const std::string& detail);
+    std::vector<remembered> remembered_submissions() const;
 
-    // Forgets final submissions past their expiry.
+    // Forgets final submissions past their expiry, at a cost of those that are due.
     void forget_expired(common::time_point now);
 
     ledger_size size() const;
@@ -116,6 +138,11 @@
     struct shard {
         mutable std::mutex mutex;
         absl::flat_hash_map<submission_id, record> records; // guarded by mutex
+        std::set<std::pair<common::time_point, submission_id>> expiries; // of the final records
+        // Nothing that expires up to this time is recorded any more: a thread that found an id
+        // valid before it was forgotten must not record it anew.
+        common::time_point forgotten_until = common::time_point::min();
+        bool is_closed = false; // nothing starts and nothing is recorded any more
     };
 
     // A listener call that is due once the shard's lock is released.
@@ -128,10 +155,13 @@
     static constexpr std::size_t shard_count = 16;
 
     shard& shard_of(const submission_id& id);
+    // Why nothing may be recorded under an id without a record; opened when it may.
+    open_outcome may_record(const shard& home, common::time_point expiry, common::time_point now);
     bool reserve();
     void set_bytes(record& it, std::size_t bytes);
-    notices finish(record& it, job::answer answer);
-    notices finish_unsuccessful(record& it, job::reason why, std::string detail,
+    notices finish(shard& home, const submission_id& id, record& it, job::answer answer);
+    notices finish_unsuccessful(shard& home, const submission_id& id, record& it, job::reason why,
+                                std::string detail,
                                 std::optional<common::milliseconds> retry_after);
 
     const ledger_limits m_limits;
