Planned stop: hand-over of submissions to an heir

The old home is closed before its estate is read, so nothing starts afterwards; the heir only answers. An id of the estate without a record was never submitted, or had expired by the age at which the home closed, so that the heir's 'not run' is true. Heirs are announced to the live entries and written as one row each; the router asks a known heir, else the home's VM, else the row, before it says home_dead.

--- a/source/core/entry/entry.cpp
+++ b/source/core/entry/entry.cpp
@@ -8,6 +8,8 @@
 #include "absl/strings/str_cat.h"
 #include "core/configuration/record.h"
 #include "core/entry/shares.h"
+#include "core/handover/hand_over.h"
+#include "core/handover/service.h"
 #include "core/telemetry/log.h"
 
 namespace savorytrail::entry {
@@ -62,9 +64,13 @@
       m_home(m_ids, m_ledger, m_dispatcher, m_clock, {},
              [this](home::outgoing_task task) { m_requester.send(std::move(task)); }),
       m_platform(make_platform_options(settings)),
-      m_peers(m_channels, ms(settings.peers().call_timeout_ms())), m_home_handler(m_home, m_ids),
+      m_peers(m_channels, ms(settings.peers().call_timeout_ms())), m_heirs(m_platform, m_clock),
+      m_inherited(m_clock, {settings.submissions().max_kept_bytes()}),
+      m_handover(m_channels, ms(settings.peers().call_timeout_ms())),
+      m_home_handler(m_home, m_ids, m_inherited),
       m_forward_service(peer::make_forward_service(m_home_handler)),
-      m_router(settings.node().name(), m_home_handler, m_peers, m_directory),
+      m_handover_service(handover::make_service(m_inherited, m_heirs, m_ids.self())),
+      m_router(settings.node().name(), m_home_handler, m_peers, m_directory, m_heirs),
       m_front(make_front_limits(settings), m_ids, m_router,
               {[this] { return is_ready(); }, [this] { return status_json(); },
                [this] { return metrics_text(); }}) {}
@@ -80,7 +86,7 @@
 
 std::error_code entry::start() {
     if (const auto ec = m_peer_server.start(endpoint_of(m_settings.peers().listen()),
-                                            {m_forward_service.get()}))
+                                            {m_forward_service.get(), m_handover_service.get()}))
         return ec;
     if (const auto ec = m_front.start(endpoint_of(m_settings.callers().listen())))
         return ec;
@@ -106,6 +112,7 @@
             break;
         std::this_thread::sleep_for(drain_step);
     }
+    hand_over_submissions();
     const bool is_clean = m_front.drain(peer_stop_grace) && m_home.tasks_in_flight() == 0;
     m_peer_server.stop(peer_stop_grace);
     log_line(is_clean ? severity::info : severity::warning, "stop_ended")
@@ -113,6 +120,21 @@
     return is_clean;
 }
 
+void entry::hand_over_submissions() {
+    m_inherited.close();
+    m_home.close();
+    auto estates = m_inherited.estates();
+    estates.push_back(handover::make_estate(m_ids, m_ledger, m_clock.now()));
+    const auto& node = m_settings.node();
+    const auto candidates = handover::heir_candidates(m_directory.live_entries(), node.name(),
+                                                      node.failure_domain());
+    const auto heir = handover::hand_over(m_handover, m_heirs, candidates, estates,
+                                          std::chrono::system_clock::now());
+    log_line(heir ? severity::info : severity::warning, "handed_over")
+        .field("heir", heir ? heir->vm : "none")
+        .field("submissions", static_cast<std::int64_t>(estates.back().records.size()));
+}
+
 void entry::follow_platform() {
     const auto period = ms(m_settings.platform().poll_ms());
     while (!m_threads_stop) {
@@ -169,6 +191,8 @@
 void entry::run_ticks() {
     while (!m_threads_stop) {
         m_home.tick();
+        m_inherited.forget_expired();
+        m_heirs.forget_expired();
         std::this_thread::sleep_for(tick_period);
     }
 }
--- a/source/core/entry/entry.h
+++ b/source/core/entry/entry.h
@@ -16,6 +16,9 @@
 #include "core/configuration/holder.h"
 #include "core/dispatch/dispatcher.h"
 #include "core/front/front.h"
+#include "core/handover/client.h"
+#include "core/handover/heirs.h"
+#include "core/handover/inheritance.h"
 #include "core/home/home.h"
 #include "core/membership/directory.h"
 #include "core/peer/channels.h"
@@ -50,6 +53,7 @@
     void read_configuration();
     void read_live_list();
     void refresh_shares();
+    void hand_over_submissions();
     void run_ticks();
     bool is_ready() const;
     std::string status_json() const;
@@ -68,8 +72,12 @@
     membership::directory m_directory;
     peer::channels m_channels;
     peer::client m_peers;
+    handover::heirs m_heirs;
+    handover::inheritance m_inherited;
+    handover::client m_handover;
     routing::home_handler m_home_handler;
     std::unique_ptr<grpc::Service> m_forward_service;
+    std::unique_ptr<grpc::Service> m_handover_service;
     peer::server m_peer_server;
     routing::router m_router;
     front::front m_front;
--- /dev/null
+++ b/source/core/handover/codec.cpp
@@ -0,0 +1,109 @@
+// Message conversion of the hand-over.
+#include "core/handover/codec.h"
+
+#include <algorithm>
+
+#include "core/job/job_codec.h"
+#include "handover.pb.h"
+
+namespace savorytrail::handover {
+namespace {
+
+constexpr std::size_t part_bytes = 4 << 20; // a part ends with the record that passes this size
+
+void range_to_message(const submission::issuing_range& value, schema::issuing_range& out) {
+    to_message(value.home, *out.mutable_home());
+    out.set_vm(value.vm);
+    out.set_key(value.key.data(), value.key.size());
+    out.set_age_ms(value.age.count());
+    out.set_lifetime_ms(value.lifetime.count());
+}
+
+std::optional<submission::issuing_range> read_range(const schema::issuing_range& message) {
+    submission::issuing_range value;
+    if (message.key().size() != value.key.size())
+        return std::nullopt;
+    value.home = from_message(message.home());
+    value.vm = message.vm();
+    std::copy(message.key().begin(), message.key().end(), value.key.begin());
+    value.age = common::milliseconds(message.age_ms());
+    value.lifetime = common::milliseconds(message.lifetime_ms());
+    return value;
+}
+
+} // namespace
+
+void to_message(const submission::incarnation& value, schema::incarnation& out) {
+    out.set_high(value.high);
+    out.set_low(value.low);
+}
+
+submission::incarnation from_message(const schema::incarnation& message) {
+    return {message.high(), message.low()};
+}
+
+std::vector<schema::handover_part> to_parts(const estate& value) {
+    std::vector<schema::handover_part> parts(1);
+    range_to_message(value.range, *parts.back().mutable_range());
+    for (const auto& it : value.keys)
+        parts.back().add_keys(it);
+    std::size_t bytes = 0;
+    for (const auto& it : value.records) {
+        if (bytes >= part_bytes) {
+            parts.emplace_back();
+            range_to_message(value.range, *parts.back().mutable_range());
+            bytes = 0;
+        }
+        auto* record = parts.back().add_records();
+        record->set_submission_id(submission::to_string(it.id));
+        record->set_digest(it.digest);
+        job::to_message(*it.answer, *record->mutable_answer());
+        bytes += record->ByteSizeLong();
+    }
+    return parts;
+}
+
+bool add_part(const schema::handover_part& part, std::vector<estate>& estates) {
+    const auto range = read_range(part.range());
+    if (!range)
+        return false;
+    if (estates.empty() || estates.back().range != *range)
+        estates.push_back({*range, {}, {}});
+    estate& value = estates.back();
+    value.keys.insert(value.keys.end(), part.keys().begin(), part.keys().end());
+    for (const auto& it : part.records()) {
+        const auto id = submission::parse_submission_id(it.submission_id());
+        auto answer = job::from_message(it.answer());
+        if (!id || !answer || !job::is_final(answer->state))
+            return false;
+        value.records.push_back(
+            {*id, it.digest(), std::make_shared<const job::answer>(std::move(*answer))});
+    }
+    return true;
+}
+
+void to_message(const std::vector<heir_notice>& value, schema::heir_notices& out) {
+    for (const auto& it : value) {
+        auto* notice = out.add_notices();
+        to_message(it.gone, *notice->mutable_gone());
+        notice->set_heir_vm(it.successor.vm);
+        notice->set_heir_address(it.successor.address.to_string());
+        to_message(it.successor.current, *notice->mutable_heir());
+        notice->set_lifetime_ms(it.lifetime.count());
+    }
+}
+
+std::vector<heir_notice> from_message(const schema::heir_notices& message) {
+    std::vector<heir_notice> notices;
+    for (const auto& it : message.notices()) {
+        const auto address = common::parse_endpoint(it.heir_address());
+        if (!address)
+            continue;
+        notices.push_back({from_message(it.gone()),
+                           {it.heir_vm(), *address, from_message(it.heir())},
+                           common::milliseconds(it.lifetime_ms())});
+    }
+    return notices;
+}
+
+} // namespace savorytrail::handover
--- /dev/null
+++ b/source/core/handover/codec.h
@@ -0,0 +1,30 @@
+// Conversion of estates and notices to and from their messages. What a peer sent is checked here.
+#pragma once
+
+#include <optional>
+#include <vector>
+
+#include "core/handover/types.h"
+
+namespace savorytrail::schema {
+class handover_part;
+class heir_notices;
+class incarnation;
+} // namespace savorytrail::schema
+
+namespace savorytrail::handover {
+
+// Small enough for one message each.
+std::vector<schema::handover_part> to_parts(const estate& value);
+
+// Adds a part to the estates received so far; false when it cannot be read.
+bool add_part(const schema::handover_part& part, std::vector<estate>& estates);
+
+void to_message(const std::vector<heir_notice>& value, schema::heir_notices& out);
+// Notices that cannot be read are left out.
+std::vector<heir_notice> from_message(const schema::heir_notices& message);
+
+void to_message(const submission::incarnation& value, schema::incarnation& out);
+submission::incarnation from_message(const schema::incarnation& message);
+
+} // namespace savorytrail::handover
--- /dev/null
+++ b/source/core/handover/heirs.cpp
@@ -0,0 +1,113 @@
+// Announced and published heirs.
+#include "core/handover/heirs.h"
+
+#include <nlohmann/json.hpp>
+
+namespace savorytrail::handover {
+namespace {
+
+constexpr const char* row_prefix = "heir/";
+constexpr std::size_t max_entries = 10000;
+constexpr common::milliseconds absence_lifetime{1000};
+constexpr common::milliseconds row_lifetime{600000}; // how long a row that was read is believed
+constexpr std::chrono::hours row_grace{24};
+
+std::string row_key(const submission::incarnation& gone) {
+    return row_prefix + submission::to_string(gone);
+}
+
+std::int64_t seconds_of(std::chrono::system_clock::time_point wall_time) {
+    return std::chrono::duration_cast<std::chrono::seconds>(wall_time.time_since_epoch()).count();
+}
+
+std::string row_value(const heir& it, std::chrono::system_clock::time_point delete_after) {
+    const nlohmann::json value = {{"vm", it.vm},
+                                  {"address", it.address.to_string()},
+                                  {"incarnation", submission::to_string(it.current)},
+                                  {"delete_after_s", seconds_of(delete_after)}};
+    return value.dump();
+}
+
+std::optional<heir> read_row(const std::string& text) {
+    const auto value = nlohmann::json::parse(text, nullptr, false);
+    if (!value.is_object())
+        return std::nullopt;
+    const auto address = common::parse_endpoint(value.value("address", ""));
+    const auto current = submission::parse_incarnation(value.value("incarnation", ""));
+    if (!address || !current)
+        return std::nullopt;
+    return heir{value.value("vm", ""), *address, *current};
+}
+
+bool may_be_deleted(const std::string& text, std::chrono::system_clock::time_point wall_time) {
+    const auto value = nlohmann::json::parse(text, nullptr, false);
+    return value.is_object() && value.contains("delete_after_s") &&
+           value["delete_after_s"].is_number_integer() &&
+           value["delete_after_s"].get<std::int64_t>() < seconds_of(wall_time);
+}
+
+} // namespace
+
+void heirs::announce(const std::vector<heir_notice>& notices) {
+    for (const auto& it : notices)
+        remember(it.gone, {it.successor, m_clock.now() + it.lifetime});
+}
+
+std::optional<heir> heirs::known(const submission::incarnation& gone) {
+    const std::lock_guard lock(m_mutex);
+    const auto it = m_entries.find(gone);
+    if (it == m_entries.end() || m_clock.now() >= it->second.expiry)
+        return std::nullopt;
+    return it->second.successor;
+}
+
+std::optional<heir> heirs::look_up(const submission::incarnation& gone) {
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto it = m_entries.find(gone);
+        if (it != m_entries.end() && m_clock.now() < it->second.expiry)
+            return it->second.successor;
+    }
+    const auto read = m_table.read_newer(row_key(gone), 0);
+    if (read && read.value()) {
+        const auto successor = read_row(read.value()->value);
+        remember(gone, {successor, m_clock.now() + row_lifetime});
+        return successor;
+    }
+    remember(gone, {std::nullopt, m_clock.now() + absence_lifetime});
+    return std::nullopt;
+}
+
+common::result<void> heirs::publish(const std::vector<heir_notice>& notices,
+                                    std::chrono::system_clock::time_point wall_time) {
+    std::vector<platform::operation> operations;
+    for (const auto& it : notices) {
+        const auto delete_after = wall_time + it.lifetime + row_grace;
+        operations.push_back({row_key(it.gone), platform::any_version,
+                              row_value(it.successor, delete_after)});
+    }
+    if (const auto rows = m_table.list(row_prefix)) {
+        for (const auto& it : rows.value()) {
+            if (may_be_deleted(it.value, wall_time))
+                operations.push_back({it.key, platform::any_version, std::nullopt});
+        }
+    }
+    const auto outcome = m_table.commit(operations);
+    if (!outcome)
+        return outcome.error();
+    return common::result<void>(boost::outcome_v2::success());
+}
+
+void heirs::forget_expired() {
+    const std::lock_guard lock(m_mutex);
+    const auto now = m_clock.now();
+    absl::erase_if(m_entries, [now](const auto& it) { return now >= it.second.expiry; });
+}
+
+void heirs::remember(const submission::incarnation& gone, entry it) {
+    const std::lock_guard lock(m_mutex);
+    if (m_entries.size() < max_entries || m_entries.contains(gone))
+        m_entries[gone] = std::move(it);
+}
+
+} // namespace savorytrail::handover
--- /dev/null
+++ b/source/core/handover/inheritance.cpp
@@ -0,0 +1,137 @@
+// Answers from estates. An estate is kept whole until its last id has expired, so that an id
+// without a record is never one that was forgotten here.
+#include "core/handover/inheritance.h"
+
+#include "core/job/job_codec.h"
+#include "core/submission/answers.h"
+
+namespace savorytrail::handover {
+namespace {
+
+std::size_t size_in_bytes(const estate& value) {
+    std::size_t n = 0;
+    for (const auto& it : value.records)
+        n += sizeof(it) + it.digest.size() + job::size_in_bytes(*it.answer);
+    for (const auto& it : value.keys)
+        n += sizeof(it) + it.size();
+    return n;
+}
+
+home::request_result answered(submission::shared_answer it) {
+    return {home::request_outcome::answered, std::move(it)};
+}
+
+} // namespace
+
+estate make_estate(const submission::issuer& ids, const submission::ledger& closed,
+                   common::time_point now) {
+    estate it;
+    for (auto& record : closed.remembered_submissions())
+        it.records.push_back({record.id, std::move(record.digest), std::move(record.answer)});
+    // The age is read after the records, so that it covers every id that was forgotten before.
+    it.range = ids.range(now);
+    return it;
+}
+
+bool inheritance::accept(const std::vector<estate>& estates) {
+    std::size_t bytes = 0;
+    for (const auto& it : estates)
+        bytes += size_in_bytes(it);
+    const std::lock_guard lock(m_mutex);
+    if (m_is_closed || m_bytes + bytes > m_limits.max_bytes)
+        return false;
+    for (const auto& it : estates) {
+        const auto [place, is_new] = m_holdings.try_emplace(it.range.home);
+        if (!is_new)
+            continue;
+        holding& held = place->second;
+        held.range = it.range;
+        held.accepted = m_clock.now();
+        held.keys = it.keys;
+        held.bytes = size_in_bytes(it);
+        m_bytes += held.bytes;
+        for (const auto& record : it.records)
+            held.records.emplace(record.id, record);
+    }
+    return true;
+}
+
+void inheritance::close() {
+    const std::lock_guard lock(m_mutex);
+    m_is_closed = true;
+}
+
+bool inheritance::holds(const submission::incarnation& home) const {
+    const std::lock_guard lock(m_mutex);
+    return m_holdings.contains(home);
+}
+
+std::optional<home::request_result> inheritance::answer(const submission::submission_id& id,
+                                                        const job::job* submitted) const {
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_holdings.find(id.home);
+    if (found == m_holdings.end())
+        return std::nullopt;
+    return answer_from(found->second, id, submitted);
+}
+
+home::request_result inheritance::answer_from(const holding& it,
+                                              const submission::submission_id& id,
+                                              const job::job* submitted) const {
+    if (id.vm != it.range.vm || id.tag != submission::tag_of(id, it.range.key))
+        return {home::request_outcome::forged, nullptr};
+    const auto record = it.records.find(id);
+    if (record != it.records.end()) {
+        const auto& digest = record->second.digest;
+        if (submitted != nullptr && !digest.empty() && digest != job::digest(*submitted))
+            return {home::request_outcome::different_body, nullptr};
+        return answered(record->second.answer);
+    }
+    const std::size_t tasks = submitted != nullptr ? submitted->tasks.size() : 0;
+    const bool expired_before = common::milliseconds(id.expires_ms) <= it.range.age;
+    if (expired_before || m_clock.now() >= it.expiry(id))
+        return answered(submission::make_expired_answer(tasks));
+    return answered(submission::make_never_submitted_answer(tasks));
+}
+
+std::vector<estate> inheritance::estates() const {
+    const std::lock_guard lock(m_mutex);
+    const auto now = m_clock.now();
+    std::vector<estate> all;
+    for (const auto& [home, it] : m_holdings) {
+        estate value{it.range, {}, it.keys};
+        const auto held = std::chrono::duration_cast<common::milliseconds>(now - it.accepted);
+        value.range.age += held;
+        value.range.lifetime = std::max(it.range.lifetime - held, common::milliseconds(0));
+        for (const auto& [id, record] : it.records)
+            value.records.push_back(record);
+        all.push_back(std::move(value));
+    }
+    return all;
+}
+
+std::vector<std::string> inheritance::forget_expired() {
+    std::vector<std::string> keys;
+    const std::lock_guard lock(m_mutex);
+    const auto now = m_clock.now();
+    absl::erase_if(m_holdings, [&](const auto& entry) {
+        const holding& it = entry.second;
+        if (now < it.end())
+            return false;
+        m_bytes -= it.bytes;
+        keys.insert(keys.end(), it.keys.begin(), it.keys.end());
+        return true;
+    });
+    return keys;
+}
+
+std::size_t inheritance::bytes() const {
+    const std::lock_guard lock(m_mutex);
+    return m_bytes;
+}
+
+common::time_point inheritance::holding::expiry(const submission::submission_id& id) const {
+    return accepted + (common::milliseconds(id.expires_ms) - range.age);
+}
+
+} // namespace savorytrail::handover
--- /dev/null
+++ b/source/core/handover/types.h
@@ -0,0 +1,54 @@
+// What passes from a stopping entry to its heir and to the other entries.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "core/common/endpoint.h"
+#include "core/submission/issuer.h"
+#include "core/submission/ledger.h"
+
+namespace savorytrail::handover {
+
+struct inherited_record {
+    submission::submission_id id;
+    std::string digest; // empty for an id that was closed before any submission
+    submission::shared_answer answer;
+
+    bool operator==(const inherited_record&) const = default;
+};
+
+// All that is known of the submissions of one incarnation that has stopped. Lifetimes are relative:
+// an id's remaining lifetime is its expires_ms less the range's age.
+// Invariant: an id of the range that has no record either expired by the range's age, or nothing
+// was ever submitted under it.
+struct estate {
+    submission::issuing_range range;
+    std::vector<inherited_record> records;
+    std::vector<std::string> keys; // rows of client keys, deleted after the last id has expired
+
+    bool operator==(const estate&) const = default;
+};
+
+// The entry that answers for a stopped incarnation.
+struct heir {
+    std::string vm;
+    common::endpoint address; // its peer address
+    submission::incarnation current;
+
+    bool operator==(const heir&) const = default;
+};
+
+struct heir_notice {
+    submission::incarnation gone;
+    heir successor;
+    common::milliseconds lifetime{0}; // of the last id that the stopped incarnation issued
+
+    bool operator==(const heir_notice&) const = default;
+};
+
+// The estate of a home that has been closed.
+estate make_estate(const submission::issuer& ids, const submission::ledger& closed,
+                   common::time_point now);
+
+} // namespace savorytrail::handover
--- a/source/core/membership/directory.cpp
+++ b/source/core/membership/directory.cpp
@@ -49,6 +49,16 @@
     return names;
 }
 
+std::vector<vm> directory::live_entries() const {
+    std::vector<vm> entries;
+    const std::lock_guard lock(m_mutex);
+    for (const auto& [name, it] : m_vms) {
+        if (it.role == vm_role::entry && it.state == vm_state::live)
+            entries.push_back(it);
+    }
+    return entries;
+}
+
 bool directory::takes_new_work(const std::string& name) const {
     const auto it = find(name);
     return !it || it->state == vm_state::live;
--- a/source/core/membership/directory.h
+++ b/source/core/membership/directory.h
@@ -23,6 +23,7 @@
     std::optional<platform::vm> find_number(std::uint32_t number) const;
     // Names of the live entries of a failure domain, in order.
     std::vector<std::string> live_entries(const std::string& failure_domain) const;
+    std::vector<platform::vm> live_entries() const;
     // Whether new work may go to the VM: one that the list never named may have it.
     bool takes_new_work(const std::string& name) const;
 
--- a/source/core/routing/home_handler.cpp
+++ b/source/core/routing/home_handler.cpp
@@ -6,12 +6,6 @@
 void home_handler::handle(peer::forward_request request, done_function done) {
     peer::forward_result reply;
     reply.current = m_ids.self();
-    if (request.id.home != m_ids.self()) {
-        reply.outcome = peer::forward_outcome::not_home;
-        done(std::move(reply));
-        return;
-    }
-
     // A call that does not wait leaves no listener behind, so that polling costs no memory.
     const bool waits = request.wait > common::milliseconds(0);
     submission::answer_listener listener;
@@ -21,15 +15,20 @@
             done(std::move(reply));
         };
     }
-    const auto result = ask_home(request, std::move(listener));
-    switch (result.outcome) {
+    const auto result = ask(request, std::move(listener));
+    if (!result) {
+        reply.outcome = peer::forward_outcome::not_home;
+        done(std::move(reply));
+        return;
+    }
+    switch (result->outcome) {
     case home::request_outcome::waiting:
         if (waits)
             return;
         reply.answer.why = job::reason::wait_over;
         break;
     case home::request_outcome::answered:
-        reply.answer = *result.answer;
+        reply.answer = *result->answer;
         break;
     case home::request_outcome::different_body:
         reply.outcome = peer::forward_outcome::different_body;
@@ -41,6 +40,14 @@
     done(std::move(reply));
 }
 
+std::optional<home::request_result> home_handler::ask(peer::forward_request& request,
+                                                      submission::answer_listener listener) {
+    if (request.id.home == m_ids.self())
+        return ask_home(request, std::move(listener));
+    const bool is_submission = request.kind == peer::request_kind::submit;
+    return m_inherited.answer(request.id, is_submission ? &*request.job : nullptr);
+}
+
 home::request_result home_handler::ask_home(peer::forward_request& request,
                                             submission::answer_listener listener) {
     switch (request.kind) {
--- a/source/core/routing/router.cpp
+++ b/source/core/routing/router.cpp
@@ -1,5 +1,7 @@
-// Routing to the home. A home that cannot be reached is never declared dead: only a new incarnation
-// at its address, or the live list's word that its VM is gone, makes the answer final.
+// Routing to the home or its heir. A home that cannot be reached is never declared dead: only a new
+// incarnation at its address, or the live list's word that its VM is gone, makes the answer final,
+// and only when no heir is known. A home taken for dead by mistake starts its tasks at most once
+// all the same; the answer then says `unknown` of each, which holds whatever it did.
 #include "core/routing/router.h"
 
 #include <future>
@@ -8,6 +10,7 @@
 namespace {
 
 constexpr common::milliseconds unreachable_retry{500};
+constexpr int max_heirs = 4; // followed from one to the next
 
 peer::forward_result with_answer(job::answer answer) {
     peer::forward_result it;
@@ -44,7 +47,7 @@
 
 peer::forward_result router::route(peer::forward_request request) {
     request.came_in_at = m_vm_name;
-    if (request.id.home == m_local.self())
+    if (m_local.serves(request.id.home))
         return ask_local(std::move(request));
     return ask_peer(request);
 }
@@ -62,17 +65,50 @@
 }
 
 peer::forward_result router::ask_peer(const peer::forward_request& request) {
+    if (m_heirs.known(request.id.home)) {
+        if (auto result = ask_heir(request))
+            return std::move(*result);
+    }
+    auto result = ask_home(request);
+    if (auto* answer = std::get_if<peer::forward_result>(&result))
+        return std::move(*answer);
+    const auto state = std::get<home_state>(result);
+    if (auto inherited = ask_heir(request))
+        return std::move(*inherited);
+    return state == home_state::dead ? home_is_dead(request) : home_is_unreachable();
+}
+
+std::variant<peer::forward_result, router::home_state>
+router::ask_home(const peer::forward_request& request) {
     const auto vm = m_directory.find_number(request.id.vm);
     if (!vm || !vm->address)
-        return home_is_unreachable();
+        return home_state::unreachable;
     if (vm->state == platform::vm_state::gone)
-        return home_is_dead(request);
+        return home_state::dead;
     auto result = m_peers.forward(*vm->address, request);
     if (!result)
-        return home_is_unreachable();
+        return home_state::unreachable;
     if (result.value().outcome == peer::forward_outcome::not_home)
-        return home_is_dead(request);
+        return home_state::dead;
     return std::move(result.value());
 }
 
+std::optional<peer::forward_result> router::ask_heir(const peer::forward_request& request) {
+    auto heir = m_heirs.look_up(request.id.home);
+    for (int step = 0; heir && step < max_heirs; step++) {
+        auto result = m_peers.forward(heir->address, request);
+        if (!result) {
+            const auto vm = m_directory.find(heir->vm);
+            if (vm && vm->state == platform::vm_state::gone)
+                return std::nullopt;
+            return home_is_unreachable();
+        }
+        if (result.value().outcome != peer::forward_outcome::not_home)
+            return std::move(result.value());
+        // The heir has stopped too, or has forgotten: its own heir holds what it held.
+        heir = m_heirs.look_up(heir->current);
+    }
+    return std::nullopt;
+}
+
 } // namespace savorytrail::routing
--- a/source/core/routing/router.h
+++ b/source/core/routing/router.h
@@ -1,8 +1,11 @@
 // Brings a caller's request to the home of its submission id and waits there for the answer.
 #pragma once
 
+#include <optional>
 #include <string>
+#include <variant>
 
+#include "core/handover/heirs.h"
 #include "core/membership/directory.h"
 #include "core/peer/client.h"
 #include "core/routing/home_handler.h"
@@ -11,21 +14,29 @@
 
 class router {
 public:
-    router(std::string vm_name, home_handler& local, peer::client& peers,
-           const membership::directory& directory)
-        : m_vm_name(std::move(vm_name)), m_local(local), m_peers(peers), m_directory(directory) {}
+    router(std::string vm_name, home_handler& local, peer::forwarder& peers,
+           const membership::directory& directory, handover::heirs& heirs)
+        : m_vm_name(std::move(vm_name)), m_local(local), m_peers(peers), m_directory(directory),
+          m_heirs(heirs) {}
 
     // Blocks until the answer is final or the request's wait is over.
     peer::forward_result route(peer::forward_request request);
 
 private:
+    enum class home_state { unreachable, dead };
+
     peer::forward_result ask_local(peer::forward_request request);
     peer::forward_result ask_peer(const peer::forward_request& request);
+    // The home's answer, or what is to be believed of the home without one.
+    std::variant<peer::forward_result, home_state> ask_home(const peer::forward_request& request);
+    // nullopt when no heir is known, or none that lives.
+    std::optional<peer::forward_result> ask_heir(const peer::forward_request& request);
 
     const std::string m_vm_name;
     home_handler& m_local;
-    peer::client& m_peers;
+    peer::forwarder& m_peers;
     const membership::directory& m_directory;
+    handover::heirs& m_heirs;
 };
 
 } // namespace savorytrail::routing
--- a/source/core/submission/issuer.h
+++ b/source/core/submission/issuer.h
@@ -43,7 +43,8 @@
     common::time_point expiry(const submission_id& id) const;
     bool is_expired(const submission_id& id) const { return m_clock.now() >= expiry(id); }
 
-    issuing_range range() const;
+    // What a successor needs, as of now.
+    issuing_range range(common::time_point now) const;
 
 private:
     const common::clock& m_clock;
--- a/source/core/submission/submission_id.cpp
+++ b/source/core/submission/submission_id.cpp
@@ -4,6 +4,7 @@
 #include <openssl/sha.h>
 
 #include <array>
+#include <charconv>
 #include <cstring>
 
 #include "absl/strings/escaping.h"
@@ -37,6 +38,20 @@
     return absl::StrFormat("%016x%016x", value.high, value.low);
 }
 
+std::optional<incarnation> parse_incarnation(std::string_view text) {
+    constexpr std::size_t half = 16;
+    incarnation value;
+    if (text.size() != 2 * half)
+        return std::nullopt;
+    const char* middle = text.data() + half;
+    const auto high = std::from_chars(text.data(), middle, value.high, 16);
+    const auto low = std::from_chars(middle, middle + half, value.low, 16);
+    if (high.ec != std::errc() || high.ptr != middle || low.ec != std::errc() ||
+        low.ptr != middle + half)
+        return std::nullopt;
+    return value;
+}
+
 std::string to_string(const submission_id& value) {
     std::string packed;
     packed.reserve(packed_bytes);
--- a/source/core/submission/submission_id.h
+++ b/source/core/submission/submission_id.h
@@ -23,7 +23,8 @@
     }
 };
 
-std::string to_string(const incarnation& value);
+std::string to_string(const incarnation& value); // 32 hexadecimal digits
+std::optional<incarnation> parse_incarnation(std::string_view text);
 
 struct submission_id {
     incarnation home;
