--- /dev/null
+++ b/source/core/claim/claimer.cpp
@@ -0,0 +1,151 @@
+// The thread that settles batches of claims and deletes expired rows.
+#include "core/claim/claimer.h"
+
+#include <algorithm>
+
+#include "absl/container/flat_hash_set.h"
+
+namespace savorytrail::claim {
+namespace {
+
+constexpr common::milliseconds deletion_period{1000};
+
+} // namespace
+
+claimer::claimer(platform::table& table, const common::clock& clock, claimer_limits limits)
+    : m_table(table), m_clock(clock), m_limits(limits), m_thread([this] { run(); }) {}
+
+claimer::~claimer() {
+    {
+        const std::lock_guard lock(m_mutex);
+        m_stops = true;
+    }
+    m_changed.notify_all();
+    m_thread.join();
+}
+
+common::result<settled_claim> claimer::claim(pending_claim wanted, common::milliseconds bound) {
+    std::future<common::result<settled_claim>> settled;
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_stops || m_waiting.size() >= m_limits.max_waiting)
+            return make_error_code(common::error::unavailable);
+        m_waiting.push_back({std::move(wanted), {}});
+        settled = m_waiting.back().settled.get_future();
+    }
+    m_changed.notify_all();
+    if (settled.wait_for(bound) == std::future_status::timeout)
+        return make_error_code(common::error::unavailable);
+    return settled.get();
+}
+
+void claimer::delete_after(common::time_point expiry, const claimed_key& row) {
+    const std::lock_guard lock(m_mutex);
+    if (m_deletions.size() < max_kept)
+        m_deletions.insert({expiry, row});
+}
+
+std::vector<claimed_key> claimer::take_keys() {
+    std::vector<claimed_key> keys;
+    const std::lock_guard lock(m_mutex);
+    for (const auto& it : m_deletions)
+        keys.push_back(it.second);
+    m_deletions.clear();
+    return keys;
+}
+
+void claimer::run() {
+    auto next_deletion = m_clock.now() + deletion_period;
+    while (true) {
+        {
+            std::unique_lock lock(m_mutex);
+            m_changed.wait_for(lock, deletion_period,
+                               [this] { return m_stops || !m_waiting.empty(); });
+            if (m_stops)
+                break;
+        }
+        const auto begun = m_clock.now();
+        settle_batch(next_batch());
+        if (m_clock.now() >= next_deletion) {
+            delete_expired();
+            next_deletion = m_clock.now() + deletion_period;
+        }
+        std::unique_lock lock(m_mutex);
+        m_changed.wait_for(lock, m_limits.min_interval - (m_clock.now() - begun),
+                           [this] { return m_stops; });
+    }
+    const std::lock_guard lock(m_mutex);
+    for (auto& it : m_waiting)
+        it.settled.set_value(make_error_code(common::error::unavailable));
+    m_waiting.clear();
+}
+
+// Claims of a key that is in the batch already wait for the next one, where they meet its row.
+std::vector<claimer::waiting_claim> claimer::next_batch() {
+    std::vector<waiting_claim> batch;
+    std::deque<waiting_claim> later;
+    absl::flat_hash_set<std::string> keys;
+    const std::lock_guard lock(m_mutex);
+    while (!m_waiting.empty() && batch.size() < m_limits.max_batch) {
+        auto& target = batch;
+        if (keys.insert(m_waiting.front().wanted.key).second)
+            target.push_back(std::move(m_waiting.front()));
+        else
+            later.push_back(std::move(m_waiting.front()));
+        m_waiting.pop_front();
+    }
+    std::move(later.rbegin(), later.rend(), std::front_inserter(m_waiting));
+    return batch;
+}
+
+void claimer::settle_batch(std::vector<waiting_claim> batch) {
+    if (batch.empty())
+        return;
+    std::vector<pending_claim> claims;
+    for (const auto& it : batch)
+        claims.push_back(it.wanted);
+    const auto rows = settle(m_table, claims);
+    for (std::size_t i = 0; i < batch.size(); i++)
+        batch[i].settled.set_value(rows[i]);
+}
+
+void claimer::delete_expired() {
+    const auto due = due_deletions();
+    if (due.empty())
+        return;
+    std::vector<platform::operation> operations;
+    for (const auto& [expiry, row] : due)
+        operations.push_back({row.key, static_cast<std::int64_t>(row.version), std::nullopt});
+    const auto outcome = m_table.commit(operations);
+    if (!outcome)
+        return;
+    // Rows that are gone, or another claim's by now, keep the rest from being deleted: they are
+    // given up, and the rest is tried again.
+    absl::flat_hash_set<std::string> given_up;
+    const auto* lost = std::get_if<platform::conflicts>(&outcome.value());
+    if (lost != nullptr) {
+        for (const auto& it : lost->rows)
+            given_up.insert(it.key);
+    }
+    const std::lock_guard lock(m_mutex);
+    for (const auto& it : due) {
+        if (lost == nullptr || given_up.contains(it.second.key))
+            m_deletions.erase(it);
+    }
+}
+
+std::vector<claimer::deletion> claimer::due_deletions() {
+    std::vector<deletion> due;
+    absl::flat_hash_set<std::string> keys; // a transaction names a row once
+    const std::lock_guard lock(m_mutex);
+    const auto now = m_clock.now();
+    for (const auto& it : m_deletions) {
+        if (it.first > now || due.size() >= m_limits.max_batch)
+            break;
+        if (keys.insert(it.second.key).second)
+            due.push_back(it);
+    }
+    return due;
+}
+
+} // namespace savorytrail::claim
--- a/source/core/handover/codec.cpp
+++ b/source/core/handover/codec.cpp
@@ -19,6 +19,13 @@
     out.set_lifetime_ms(value.lifetime.count());
 }
 
+schema::claimed_key key_message(const claim::claimed_key& value) {
+    schema::claimed_key message;
+    message.set_key(value.key);
+    message.set_version(value.version);
+    return message;
+}
+
 std::optional<submission::issuing_range> read_range(const schema::issuing_range& message) {
     submission::issuing_range value;
     if (message.key().size() != value.key.size())
@@ -46,7 +53,7 @@
     std::vector<schema::handover_part> parts(1);
     range_to_message(value.range, *parts.back().mutable_range());
     for (const auto& it : value.keys)
-        parts.back().add_keys(it);
+        *parts.back().add_keys() = key_message(it);
     std::size_t bytes = 0;
     for (const auto& it : value.records) {
         if (bytes >= part_bytes) {
@@ -70,7 +77,8 @@
     if (estates.empty() || estates.back().range != *range)
         estates.push_back({*range, {}, {}});
     estate& value = estates.back();
-    value.keys.insert(value.keys.end(), part.keys().begin(), part.keys().end());
+    for (const auto& it : part.keys())
+        value.keys.push_back({it.key(), it.version()});
     for (const auto& it : part.records()) {
         const auto id = submission::parse_submission_id(it.submission_id());
         auto answer = job::from_message(it.answer());
--- a/source/core/handover/heirs.cpp
+++ b/source/core/handover/heirs.cpp
@@ -83,8 +83,8 @@
     std::vector<platform::operation> operations;
     for (const auto& it : notices) {
         const auto delete_after = wall_time + it.lifetime + row_grace;
-        operations.push_back({row_key(it.gone), platform::any_version,
-                              row_value(it.successor, delete_after)});
+        operations.push_back(
+            {row_key(it.gone), platform::any_version, row_value(it.successor, delete_after)});
     }
     if (const auto rows = m_table.list(row_prefix)) {
         for (const auto& it : rows.value()) {
--- a/source/core/handover/inheritance.cpp
+++ b/source/core/handover/inheritance.cpp
@@ -13,7 +13,7 @@
     for (const auto& it : value.records)
         n += sizeof(it) + it.digest.size() + job::size_in_bytes(*it.answer);
     for (const auto& it : value.keys)
-        n += sizeof(it) + it.size();
+        n += sizeof(it) + it.key.size();
     return n;
 }
 
@@ -110,8 +110,8 @@
     return all;
 }
 
-std::vector<std::string> inheritance::forget_expired() {
-    std::vector<std::string> keys;
+std::vector<claim::claimed_key> inheritance::forget_expired() {
+    std::vector<claim::claimed_key> keys;
     const std::lock_guard lock(m_mutex);
     const auto now = m_clock.now();
     absl::erase_if(m_holdings, [&](const auto& entry) {
--- a/source/core/handover/inheritance.h
+++ b/source/core/handover/inheritance.h
@@ -43,7 +43,7 @@
     std::vector<estate> estates() const;
 
     // Forgets estates whose last id has expired, and returns the rows of their client keys.
-    std::vector<std::string> forget_expired();
+    std::vector<claim::claimed_key> forget_expired();
 
     std::size_t bytes() const;
 
@@ -52,7 +52,7 @@
         submission::issuing_range range;
         common::time_point accepted;
         absl::flat_hash_map<submission::submission_id, inherited_record> records;
-        std::vector<std::string> keys;
+        std::vector<claim::claimed_key> keys;
         std::size_t bytes = 0;
 
         common::time_point expiry(const submission::submission_id& id) const;
--- a/source/core/handover/service.cpp
+++ b/source/core/handover/service.cpp
@@ -14,8 +14,7 @@
     service(inheritance& inherited, heirs& registry, const submission::incarnation& self)
         : m_inherited(inherited), m_heirs(registry), m_self(self) {}
 
-    grpc::Status hand_over(grpc::ServerContext*,
-                           grpc::ServerReader<schema::handover_part>* parts,
+    grpc::Status hand_over(grpc::ServerContext*, grpc::ServerReader<schema::handover_part>* parts,
                            schema::handover_reply* reply) override {
         std::vector<estate> estates;
         schema::handover_part part;
--- a/source/core/handover/types.h
+++ b/source/core/handover/types.h
@@ -4,6 +4,7 @@
 #include <string>
 #include <vector>
 
+#include "core/claim/claimed_key.h"
 #include "core/common/endpoint.h"
 #include "core/submission/issuer.h"
 #include "core/submission/ledger.h"
@@ -25,7 +26,7 @@
 struct estate {
     submission::issuing_range range;
     std::vector<inherited_record> records;
-    std::vector<std::string> keys; // rows of client keys, deleted after the last id has expired
+    std::vector<claim::claimed_key> keys; // deleted after the last id has expired
 
     bool operator==(const estate&) const = default;
 };
