--- a/source/core/settings/load.cpp
+++ b/source/core/settings/load.cpp
@@ -41,6 +41,12 @@
     return parent.empty() ? name : absl::StrCat(parent, ".", name);
 }
 
+// Where to report what a table lacks: `enclosing` if the file has no such table.
+position place_of(const toml::table* table, const position& enclosing) {
+    const position own = table != nullptr ? position_of(table->source()) : enclosing;
+    return own.line > 0 ? own : enclosing;
+}
+
 // Sets one field from the text of its default or from a TOML value, if the value fits.
 class field_writer {
 public:
@@ -147,7 +153,7 @@
             if (node != nullptr && table == nullptr)
                 refuse_value(field, *node, key);
             else
-                fill_message(part, table, key, node != nullptr ? position_of(node->source()) : at);
+                fill_message(part, table, key, place_of(table, at));
         }
     }
 
--- a/source/unit_tests/settings/load_test.cpp
+++ b/source/unit_tests/settings/load_test.cpp
@@ -257,6 +257,12 @@
 INSTANTIATE_TEST_SUITE_P(load, assignments, testing::ValuesIn(assignment_cases),
                          [](const auto& it) { return std::string(it.param.name); });
 
+TEST(load, does_not_blame_an_assignment_for_what_its_table_lacks) {
+    const auto result = load<schema::entry_settings>({"", file, {"callers.threads=8"}});
+    EXPECT_EQ(result.problems[3].to_string(),
+              std::string("entry.toml:1:1: callers.listen: ") + endpoint_expected);
+}
+
 TEST(load_file, names_a_file_that_cannot_be_read) {
     const auto result = load_file<schema::entry_settings>("/nowhere/entry.toml");
     EXPECT_EQ(to_string(result.problems),
