--- a/source/core/control/validate.cpp
+++ b/source/core/control/validate.cpp
@@ -8,6 +8,7 @@
 #include "core/control/report.h"
 #include "core/settings/load.h"
 #include "core/settings/print.h"
+#include "core/settings/reference.h"
 #include "settings.pb.h"
 
 namespace savorytrail::control {
@@ -76,4 +77,9 @@
     return exit_status::ok;
 }
 
+exit_status print_reference(console& io) {
+    io.out << settings::reference();
+    return exit_status::ok;
+}
+
 } // namespace savorytrail::control
--- a/source/core/control/validate.h
+++ b/source/core/control/validate.h
@@ -20,4 +20,7 @@
 // Prints the settings that an entry would run with.
 exit_status print_settings(const print_settings_options& options, console& io);
 
+// Prints the reference page of all settings.
+exit_status print_reference(console& io);
+
 } // namespace savorytrail::control
--- a/source/core/settings/clashes.cpp
+++ b/source/core/settings/clashes.cpp
@@ -12,6 +12,8 @@
 namespace savorytrail::settings {
 namespace {
 
+constexpr std::uint32_t lowest_error_status = 400;
+
 class clash_list {
 public:
     explicit clash_list(const filled& from) : m_from(from) {
@@ -82,6 +84,13 @@
     clashes.add({key}, absl::StrCat(a->to_string(), " is already the address of ", other_key));
 }
 
+// An executor that answers with success or a redirection has done something, so such a status
+// cannot mean that the task may be started elsewhere.
+void check_not_accepted_status(clash_list& clashes, const std::string& key, std::uint32_t status) {
+    if (status != 0 && status < lowest_error_status && clashes.valid(key))
+        clashes.add({key}, absl::StrCat("expected 0 or a status from 400 to 599, found ", status));
+}
+
 std::string executor_key(int upstream, int executor, const std::string& name) {
     return absl::StrCat("upstreams[", upstream, "].executors[", executor, "].", name);
 }
@@ -167,6 +176,8 @@
         const std::string key = absl::StrCat("upstreams[", i, "]");
         if (upstream.executors().empty())
             clashes.add({key + ".name"}, "this upstream has no executors; expected at least one");
+        check_not_accepted_status(clashes, key + ".not_accepted_status",
+                                  upstream.not_accepted_status());
         for (int k = 0; k < upstream.executors_size(); k++)
             registry.add(upstream.executors(k), i, k);
     }
--- a/source/core/settings/print.cpp
+++ b/source/core/settings/print.cpp
@@ -31,7 +31,7 @@
 
 std::string comment(const FieldDescriptor& field) {
     const schema::field_rule& rule = rule_of(field);
-    std::string text = absl::StrCat("# ", rule.help(), " Expected: ", expectation(field), ".");
+    std::string text = absl::StrCat("# ", rule.help(), "\n# Expected: ", expectation(field), ".");
     if (!rule.default_value().empty())
         absl::StrAppend(&text, " Default: ", rule.default_value(), ".");
     return text + "\n";
--- a/source/programs/savoryctl/main.cpp
+++ b/source/programs/savoryctl/main.cpp
@@ -113,6 +113,17 @@
     });
 }
 
+void add_reference(command_line& line) {
+    CLI::App* const command =
+        add_command(line, "reference", "Print the page of all settings as Markdown",
+                    "reference > docs/SETTINGS.md");
+    command->callback([&line] {
+        line.run = [](control::environment&, control::console& io) {
+            return control::print_reference(io);
+        };
+    });
+}
+
 void add_diff(command_line& line) {
     CLI::App* const command =
         add_command(line, "diff", "Show what applying a manifest would change",
@@ -188,6 +199,7 @@
     line.app.footer(footer);
     add_validate(line);
     add_print_settings(line);
+    add_reference(line);
     add_diff(line);
     add_apply(line);
     add_status(line);
--- a/source/unit_tests/settings/clashes_test.cpp
+++ b/source/unit_tests/settings/clashes_test.cpp
@@ -129,6 +129,14 @@
 )",
      "m.toml:7:22: upstreams[1].executors[0].name: \"a\" is already used in line 4\n"
      "m.toml:7:64: upstreams[1].executors[0].address: \"10.0.0.1:80\" is already used in line 4\n"},
+    {"success_as_not_accepted", R"(teams = [{name = "desk"}]
+[[upstreams]]
+name = "booking"
+not_accepted_status = 200
+executors = [{name = "a", failure_domain = "zilina", address = "10.0.0.1:80"}]
+)",
+     "m.toml:4:23: upstreams[0].not_accepted_status: expected 0 or a status from 400 to 599, "
+     "found 200\n"},
     {"vm_in_two_domains", R"(teams = [{name = "desk"}]
 [[upstreams]]
 name = "booking"
--- a/source/unit_tests/settings/print_test.cpp
+++ b/source/unit_tests/settings/print_test.cpp
@@ -51,8 +51,8 @@
 
 TEST(print, says_unit_range_and_default) {
     const std::string text = print(schema::entry_settings());
-    EXPECT_NE(text.find("# Longest silence within one request. Expected: a whole number of ms from "
-                        "100 to 60000. Default: 5000.\nread_timeout_ms = 0\n"),
+    EXPECT_NE(text.find("# Longest silence within one request.\n# Expected: a whole number of ms "
+                        "from 100 to 60000. Default: 5000.\nread_timeout_ms = 0\n"),
               std::string::npos)
         << text;
 }
