Submissions under client keys: POST /v1/jobs

The row points to a submission id and permits nothing itself, so a write that lands late or an answer that is lost starts nothing. Rows are deleted at their version when their id has expired: by the home, by its heir, or for a dead home by whoever meets them.

--- a/source/core/entry/entry.cpp
+++ b/source/core/entry/entry.cpp
@@ -20,6 +20,7 @@
 
 constexpr common::milliseconds tick_period{20};
 constexpr common::milliseconds drain_step{10};
+constexpr int claim_calls = 2; // to the table: a commit, and reading back
 constexpr common::milliseconds peer_stop_grace{500};
 
 common::milliseconds ms(std::uint32_t n) {
@@ -71,7 +72,9 @@
       m_forward_service(peer::make_forward_service(m_home_handler)),
       m_handover_service(handover::make_service(m_inherited, m_heirs, m_ids.self())),
       m_router(settings.node().name(), m_home_handler, m_peers, m_directory, m_heirs),
-      m_front(make_front_limits(settings), m_ids, m_router,
+      m_claimer(m_platform, m_clock, {}),
+      m_keyed(m_ids, m_claimer, m_router, claim_calls * ms(settings.platform().call_timeout_ms())),
+      m_front(make_front_limits(settings), m_ids, m_router, m_keyed,
               {[this] { return is_ready(); }, [this] { return status_json(); },
                [this] { return metrics_text(); }}) {}
 
@@ -125,9 +128,10 @@
     m_home.close();
     auto estates = m_inherited.estates();
     estates.push_back(handover::make_estate(m_ids, m_ledger, m_clock.now()));
+    estates.back().keys = m_claimer.take_keys();
     const auto& node = m_settings.node();
-    const auto candidates = handover::heir_candidates(m_directory.live_entries(), node.name(),
-                                                      node.failure_domain());
+    const auto candidates =
+        handover::heir_candidates(m_directory.live_entries(), node.name(), node.failure_domain());
     const auto heir = handover::hand_over(m_handover, m_heirs, candidates, estates,
                                           std::chrono::system_clock::now());
     log_line(heir ? severity::info : severity::warning, "handed_over")
@@ -191,7 +195,8 @@
 void entry::run_ticks() {
     while (!m_threads_stop) {
         m_home.tick();
-        m_inherited.forget_expired();
+        for (const auto& it : m_inherited.forget_expired())
+            m_claimer.delete_after(m_clock.now(), it);
         m_heirs.forget_expired();
         std::this_thread::sleep_for(tick_period);
     }
--- a/source/core/entry/entry.h
+++ b/source/core/entry/entry.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
+#include "core/claim/claimer.h"
 #include "core/common/clock.h"
 #include "core/common/random.h"
 #include "core/configuration/holder.h"
@@ -26,6 +27,7 @@
 #include "core/peer/forward_service.h"
 #include "core/peer/server.h"
 #include "core/platform/client.h"
+#include "core/routing/keyed_router.h"
 #include "core/routing/router.h"
 #include "core/submission/issuer.h"
 #include "core/submission/ledger.h"
@@ -80,6 +82,8 @@
     std::unique_ptr<grpc::Service> m_handover_service;
     peer::server m_peer_server;
     routing::router m_router;
+    claim::claimer m_claimer;
+    routing::keyed_router m_keyed;
     front::front m_front;
     std::uint64_t m_list_revision = 0; // used by the follower thread alone
     std::atomic<bool> m_is_stopping{false};
--- a/source/core/front/front.cpp
+++ b/source/core/front/front.cpp
@@ -37,6 +37,12 @@
     return std::min(common::milliseconds(n), most);
 }
 
+reply not_ready() {
+    auto it = error_reply(503, "not_ready", "", "this entry issues no ids now; ask another");
+    it.retry_after = stopping_retry;
+    return it;
+}
+
 reply invalid(const job::invalid_field& what) {
     return error_reply(400, "invalid_field", what.field, what.message);
 }
@@ -44,8 +50,8 @@
 } // namespace
 
 front::front(front_limits limits, submission::issuer& ids, routing::router& router,
-             front_sources sources)
-    : m_limits(limits), m_ids(ids), m_router(router), m_sources(std::move(sources)),
+             routing::keyed_router& keyed, front_sources sources)
+    : m_limits(limits), m_ids(ids), m_router(router), m_keyed(keyed), m_sources(std::move(sources)),
       m_server(std::make_unique<httplib::Server>()) {}
 
 front::~front() {
@@ -71,6 +77,7 @@
     using response = httplib::Response;
     m_server->Post("/v1/submission-ids",
                    serve([this](const request& in) { return issue_ids(in); }));
+    m_server->Post("/v1/jobs", serve([this](const request& in) { return submit_with_key(in); }));
     m_server->Put(R"(/v1/jobs/([^/]+))", serve([this](const request& in) { return submit(in); }));
     m_server->Get(R"(/v1/jobs/([^/]+))",
                   serve([this](const request& in) { return ask(in, peer::request_kind::query); }));
@@ -122,11 +129,8 @@
     const auto count = job::parse_count(request.body, m_limits.max_ids_per_call);
     if (const auto* what = std::get_if<job::invalid_field>(&count))
         return invalid(*what);
-    if (!m_is_issuing || !m_sources.is_ready()) {
-        auto it = error_reply(503, "not_ready", "", "this entry issues no ids now; ask another");
-        it.retry_after = stopping_retry;
-        return it;
-    }
+    if (!m_is_issuing || !m_sources.is_ready())
+        return not_ready();
     nlohmann::json body = {{"lifetime_ms", m_ids.lifetime().count()}};
     for (const auto& id : m_ids.issue(std::get<std::size_t>(count)))
         body["ids"].push_back(submission::to_string(id));
@@ -144,6 +148,22 @@
                  *wait);
 }
 
+reply front::submit_with_key(const httplib::Request& request) {
+    const std::string key = request.get_header_value("Idempotency-Key");
+    if (!claim::is_valid_key(key))
+        return invalid({"Idempotency-Key", "must be 1 to 128 letters, digits or . _ ~ -"});
+    auto job = job::parse_job(request.body, m_limits.job);
+    if (const auto* what = std::get_if<job::invalid_field>(&job))
+        return invalid(*what);
+    const auto wait = read_wait(request, m_limits.max_wait, m_limits.max_wait);
+    if (!wait)
+        return invalid({"wait_ms", "must be a whole number of milliseconds"});
+    if (!m_is_issuing || !m_sources.is_ready())
+        return not_ready();
+    const auto it = m_keyed.submit(key, std::get<job::job>(std::move(job)), *wait);
+    return result_reply(it.result, submission::to_string(it.id));
+}
+
 reply front::ask(const httplib::Request& request, peer::request_kind kind) {
     const auto wait = read_wait(request, m_limits.max_wait, common::milliseconds(0));
     if (!wait)
--- a/source/core/front/front.h
+++ b/source/core/front/front.h
@@ -11,6 +11,7 @@
 #include "core/front/replies.h"
 #include "core/http/server_setup.h"
 #include "core/job/job_json.h"
+#include "core/routing/keyed_router.h"
 #include "core/routing/router.h"
 #include "core/submission/issuer.h"
 
@@ -41,7 +42,7 @@
 class front {
 public:
     front(front_limits limits, submission::issuer& ids, routing::router& router,
-          front_sources sources);
+          routing::keyed_router& keyed, front_sources sources);
     ~front();
     front(const front&) = delete;
     front& operator=(const front&) = delete;
@@ -61,6 +62,7 @@
     std::function<void(const httplib::Request&, httplib::Response&)> serve(handler inner);
     reply issue_ids(const httplib::Request& request);
     reply submit(const httplib::Request& request);
+    reply submit_with_key(const httplib::Request& request);
     reply ask(const httplib::Request& request, peer::request_kind kind);
     reply route(const std::string& id_text, peer::request_kind kind, std::optional<job::job> job,
                 common::milliseconds wait);
@@ -68,6 +70,7 @@
     const front_limits m_limits;
     submission::issuer& m_ids;
     routing::router& m_router;
+    routing::keyed_router& m_keyed;
     const front_sources m_sources;
     std::atomic<bool> m_is_issuing{true};
     std::atomic<std::size_t> m_active{0}; // requests being served
--- a/source/core/submission/issuer.h
+++ b/source/core/submission/issuer.h
@@ -41,6 +41,8 @@
     bool is_genuine(const submission_id& id) const;
 
     common::time_point expiry(const submission_id& id) const;
+    // When an id that is issued now expires.
+    common::time_point latest_expiry() const { return m_clock.now() + m_lifetime; }
     bool is_expired(const submission_id& id) const { return m_clock.now() >= expiry(id); }
 
     // What a successor needs, as of now.
