--- /dev/null
+++ b/source/unit_tests/fleet/machine.h
@@ -0,0 +1,75 @@
+// One incarnation of an entry under test: the real deciding code, with its network, store,
+// executors and clock faked.
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "core/claim/settle.h"
+#include "core/dispatch/dispatcher.h"
+#include "core/handover/hand_over.h"
+#include "core/handover/inheritance.h"
+#include "core/home/home.h"
+#include "core/membership/directory.h"
+#include "core/routing/home_handler.h"
+#include "core/routing/router.h"
+
+namespace savorytrail::fleet {
+
+constexpr common::milliseconds id_lifetime{1000};
+
+// Every VM's monotonic clock has its own origin.
+class shifted_clock final : public common::clock {
+public:
+    shifted_clock(const common::clock& base, common::milliseconds shift)
+        : m_base(base), m_shift(shift) {}
+    common::time_point now() const override { return m_base.now() + m_shift; }
+
+private:
+    const common::clock& m_base;
+    const common::milliseconds m_shift;
+};
+
+struct machine_parts {
+    std::string name;
+    int serial = 0; // over all incarnations of all VMs
+    common::milliseconds clock_shift{0};
+    home::task_sink sink;
+    peer::forwarder* peers = nullptr;
+    platform::table* table = nullptr;
+};
+
+class machine {
+public:
+    machine(const machine_parts& parts, const common::clock& clock);
+    machine(const machine&) = delete;
+    machine& operator=(const machine&) = delete;
+
+    void tick();
+    void set_manifest(bool with_upstream);
+    // Closes the home and gathers what the heir has to know.
+    std::vector<handover::estate> close();
+
+    const std::string name;
+    const int serial;
+    bool is_frozen = false;
+    bool is_stopping = false;
+    bool is_closed = false;
+
+private:
+    shifted_clock m_clock;
+    common::seeded_random m_random;
+
+public:
+    submission::issuer ids;
+    submission::ledger ledger;
+    dispatch::dispatcher dispatcher;
+    home::home home;
+    membership::directory directory;
+    handover::inheritance inherited;
+    handover::heirs heirs;
+    routing::home_handler handler;
+    routing::router router;
+};
+
+} // namespace savorytrail::fleet
