--- a/source/core/home/home.cpp
+++ b/source/core/home/home.cpp
@@ -143,9 +143,9 @@
     for (const auto& id : m_ledger.find_waiting(is_gone)) {
         const auto upstream = m_ledger.upstream_of(id);
         const bool has_upstream = upstream && manifest->find_upstream(*upstream) != nullptr;
-        m_ledger.give_up(
-            id, has_upstream ? job::reason::unknown_team : job::reason::unknown_upstream,
-            "the manifest no longer names the job's upstream or team", std::nullopt);
+        m_ledger.give_up(id,
+                         has_upstream ? job::reason::unknown_team : job::reason::unknown_upstream,
+                         "the manifest no longer names the job's upstream or team", std::nullopt);
         if (upstream)
             m_dispatcher.cancel(*upstream, id);
     }
--- a/source/core/submission/ledger.h
+++ b/source/core/submission/ledger.h
@@ -137,7 +137,7 @@
 
     struct shard {
         mutable std::mutex mutex;
-        absl::flat_hash_map<submission_id, record> records; // guarded by mutex
+        absl::flat_hash_map<submission_id, record> records;              // guarded by mutex
         std::set<std::pair<common::time_point, submission_id>> expiries; // of the final records
         // Nothing that expires up to this time is recorded any more: a thread that found an id
         // valid before it was forgotten must not record it anew.
