--- a/source/core/routing/router.cpp
+++ b/source/core/routing/router.cpp
@@ -1,7 +1,8 @@
 // Routing to the home or its heir. A home that cannot be reached is never declared dead: only a new
-// incarnation at its address, or the live list's word that its VM is gone, makes the answer final,
-// and only when no heir is known. A home taken for dead by mistake starts its tasks at most once
-// all the same; the answer then says `unknown` of each, which holds whatever it did.
+// incarnation at its address, or the live list's word that its VM is gone while it does not reply,
+// makes the answer final, and only when no heir is known. A home taken for dead by mistake starts
+// its tasks at most once all the same; the answer then says `unknown` of each, which holds whatever
+// it did.
 #include "core/routing/router.h"
 
 #include <future>
@@ -83,7 +84,7 @@
     const auto vm = m_directory.find_number(request.id.vm);
     if (!vm || !vm->address)
         return home_state::unreachable;
-    if (vm->state == platform::vm_state::gone)
+    if (vm->state == platform::vm_state::gone && !replies(*vm->address, request))
         return home_state::dead;
     auto result = m_peers.forward(*vm->address, request);
     if (!result)
@@ -93,6 +94,11 @@
     return std::move(result.value());
 }
 
+bool router::replies(const common::endpoint& address, peer::forward_request request) {
+    request.wait = common::milliseconds(0);
+    return m_peers.forward(address, request).has_value();
+}
+
 std::optional<peer::forward_result> router::ask_heir(const peer::forward_request& request) {
     auto heir = m_heirs.look_up(request.id.home);
     for (int step = 0; heir && step < max_heirs; step++) {
--- a/source/core/routing/router.h
+++ b/source/core/routing/router.h
@@ -29,6 +29,9 @@
     peer::forward_result ask_peer(const peer::forward_request& request);
     // The home's answer, or what is to be believed of the home without one.
     std::variant<peer::forward_result, home_state> ask_home(const peer::forward_request& request);
+    // Whether a VM that the live list takes for gone replies, within the bound of a call that does
+    // not wait.
+    bool replies(const common::endpoint& address, peer::forward_request request);
     // nullopt when no heir is known, or none that lives.
     std::optional<peer::forward_result> ask_heir(const peer::forward_request& request);
 
--- a/source/integration_tests/caller.cpp
+++ b/source/integration_tests/caller.cpp
@@ -111,6 +111,19 @@
     return answer;
 }
 
+spoken_answer submit_with_key(const common::endpoint& entry, const std::string& key,
+                              const job_spec& job, int wait_ms) {
+    const common::milliseconds bound = common::milliseconds(wait_ms) + beyond_wait;
+    http::client client(entry, {.connect = bound, .answer = bound});
+    http::request message;
+    message.verb = http::method::post;
+    message.path = "/v1/jobs?wait_ms=" + std::to_string(wait_ms);
+    message.body = job.to_json();
+    if (!key.empty())
+        message.headers.emplace_back("Idempotency-Key", key);
+    return read(client.send(message));
+}
+
 bool is_whole(const spoken_answer& answer, const job_spec& job) {
     if (answer.state != "complete" || answer.echoes.size() != job.tasks.size())
         return false;
--- a/source/integration_tests/caller.h
+++ b/source/integration_tests/caller.h
@@ -60,6 +60,10 @@
 spoken_answer submit_until_final(const common::endpoint& entry, const std::string& id,
                                  const job_spec& job, common::milliseconds bound);
 
+// Under a client key; an empty key sends no header.
+spoken_answer submit_with_key(const common::endpoint& entry, const std::string& key,
+                              const job_spec& job, int wait_ms = 15000);
+
 // Whether the answer is complete and every result echoes the job's own body.
 bool is_whole(const spoken_answer& answer, const job_spec& job);
 
