Dispatcher: learned times, admission, executor health, retry budget

Cause: jobs were ordered by declared times, which are off by up to ten times; nothing was refused for its deadline; an executor that fails everything quickly drew all work to itself; a task that reached no executor was retried for ever.

Change: the queue is split into job queue, executor pool, learned times and admission. Times are learned per path without query and replace declared ones. A job that cannot meet its deadline is refused at once with the time to drain; one that could not even when idle, without a retry time. Three bad or slow tasks in a row, or running tasks that are overdue, eject an executor; a real task at a time probes it after a back-off that doubles, and its limit doubles on the way back; at most a third of the executors is out. complete() returns a verdict when the retry budget is spent, and the home gives the job up. Slots can be lent and borrowed. Cancelling a job touches its own tasks alone. The tasks of a job keep the caller's order but for the shortest, one for each slot, which are kept for the end, longest first.

Ruled out: longest task first throughout a job.

--- a/source/core/dispatch/dispatcher.cpp
+++ b/source/core/dispatch/dispatcher.cpp
@@ -10,17 +10,26 @@
     if (!it)
         return {false, job::reason::unknown_upstream,
                 absl::StrCat("the manifest has no upstream ", job.upstream), std::nullopt};
-    const std::lock_guard lock(it->mutex);
-    return it->queue->submit(job, now, starts);
+    verdict result;
+    bool has_backlog = false;
+    {
+        const std::lock_guard lock(it->mutex);
+        result = it->queue->submit(job, now, starts);
+        has_backlog = result.is_accepted && it->queue->has_backlog();
+    }
+    if (has_backlog && m_on_backlog)
+        m_on_backlog(job.upstream);
+    return result;
 }
 
-void dispatcher::complete(const start& done, completion how, common::milliseconds took,
-                          common::time_point now, std::vector<start>& starts) {
+std::optional<verdict> dispatcher::complete(const start& done, completion how,
+                                            common::milliseconds took, common::time_point now,
+                                            std::vector<start>& starts) {
     const auto it = find(done.upstream);
     if (!it)
-        return;
+        return std::nullopt;
     const std::lock_guard lock(it->mutex);
-    it->queue->complete(done, how, took, now, starts);
+    return it->queue->complete(done, how, took, now, starts);
 }
 
 void dispatcher::cancel(const std::string& upstream, const submission::submission_id& id) {
@@ -39,21 +48,87 @@
     it->queue->set_executors(shares, now, starts);
 }
 
-std::vector<queue_status> dispatcher::status() const {
-    std::vector<std::shared_ptr<shard>> shards;
-    {
-        const std::shared_lock lock(m_mutex);
-        for (const auto& [name, it] : m_shards)
-            shards.push_back(it);
+void dispatcher::tick(common::time_point now, std::vector<start>& starts) {
+    for (const auto& it : all_shards()) {
+        const std::lock_guard lock(it->mutex);
+        it->queue->tick(now, starts);
     }
+}
+
+std::vector<queue_status> dispatcher::status() const {
     std::vector<queue_status> all;
-    for (const auto& it : shards) {
+    for (const auto& it : all_shards()) {
         const std::lock_guard lock(it->mutex);
         all.push_back(it->queue->status());
     }
     return all;
 }
 
+std::vector<executor_slots> dispatcher::lend(const std::string& upstream, std::uint32_t wanted) {
+    const auto it = find(upstream);
+    if (!it)
+        return {};
+    const std::lock_guard lock(it->mutex);
+    return it->queue->lend(wanted);
+}
+
+void dispatcher::take_back(const std::string& upstream, const std::vector<executor_slots>& slots,
+                           common::time_point now, std::vector<start>& starts) {
+    const auto it = find(upstream);
+    if (!it)
+        return;
+    const std::lock_guard lock(it->mutex);
+    it->queue->take_back(slots, now, starts);
+}
+
+void dispatcher::add_borrowed(const std::string& upstream, const std::vector<executor_share>& slots,
+                              common::time_point now, std::vector<start>& starts) {
+    const auto it = find_or_create(upstream);
+    const std::lock_guard lock(it->mutex);
+    it->queue->add_borrowed(slots, now, starts);
+}
+
+std::vector<executor_slots> dispatcher::give_back(const std::string& upstream,
+                                                  const std::vector<executor_slots>& slots) {
+    const auto it = find(upstream);
+    if (!it)
+        return {};
+    const std::lock_guard lock(it->mutex);
+    return it->queue->give_back(slots);
+}
+
+void dispatcher::end_borrowed(const std::string& upstream,
+                              const std::vector<executor_slots>& slots) {
+    const auto it = find(upstream);
+    if (!it)
+        return;
+    const std::lock_guard lock(it->mutex);
+    it->queue->end_borrowed(slots);
+}
+
+void dispatcher::set_borrowable(const std::string& upstream, std::optional<std::size_t> slots) {
+    const auto it = find_or_create(upstream);
+    const std::lock_guard lock(it->mutex);
+    it->queue->set_borrowable(slots);
+}
+
+std::vector<slot_demand> dispatcher::demands() const {
+    std::vector<slot_demand> all;
+    for (const auto& it : all_shards()) {
+        const std::lock_guard lock(it->mutex);
+        all.push_back(it->queue->demand());
+    }
+    return all;
+}
+
+std::vector<std::shared_ptr<dispatcher::shard>> dispatcher::all_shards() const {
+    std::vector<std::shared_ptr<shard>> shards;
+    const std::shared_lock lock(m_mutex);
+    for (const auto& [name, it] : m_shards)
+        shards.push_back(it);
+    return shards;
+}
+
 std::shared_ptr<dispatcher::shard> dispatcher::find(const std::string& upstream) const {
     const std::shared_lock lock(m_mutex);
     const auto it = m_shards.find(upstream);
--- a/source/core/dispatch/dispatcher.h
+++ b/source/core/dispatch/dispatcher.h
@@ -1,8 +1,10 @@
 // All upstreams' queues of one entry, each under its own lock.
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <shared_mutex>
 #include <string>
 #include <vector>
@@ -20,14 +22,33 @@
     dispatcher(const dispatcher&) = delete;
     dispatcher& operator=(const dispatcher&) = delete;
 
+    // Called with an upstream's name when a submission leaves tasks that wait for a slot. To be set
+    // before the first submission; it must not call back.
+    void set_backlog_listener(std::function<void(const std::string&)> listener) {
+        m_on_backlog = std::move(listener);
+    }
+
+    // The calls below are those of upstream_queue.
     verdict submit(const ticket& job, common::time_point now, std::vector<start>& starts);
-    void complete(const start& done, completion how, common::milliseconds took,
-                  common::time_point now, std::vector<start>& starts);
+    std::optional<verdict> complete(const start& done, completion how, common::milliseconds took,
+                                    common::time_point now, std::vector<start>& starts);
     void cancel(const std::string& upstream, const submission::submission_id& id);
     void set_executors(const std::string& upstream, const std::vector<executor_share>& shares,
                        common::time_point now, std::vector<start>& starts);
+    void tick(common::time_point now, std::vector<start>& starts);
     std::vector<queue_status> status() const;
 
+    std::vector<executor_slots> lend(const std::string& upstream, std::uint32_t wanted);
+    void take_back(const std::string& upstream, const std::vector<executor_slots>& slots,
+                   common::time_point now, std::vector<start>& starts);
+    void add_borrowed(const std::string& upstream, const std::vector<executor_share>& slots,
+                      common::time_point now, std::vector<start>& starts);
+    std::vector<executor_slots> give_back(const std::string& upstream,
+                                          const std::vector<executor_slots>& slots);
+    void end_borrowed(const std::string& upstream, const std::vector<executor_slots>& slots);
+    void set_borrowable(const std::string& upstream, std::optional<std::size_t> slots);
+    std::vector<slot_demand> demands() const;
+
 private:
     struct shard {
         mutable std::mutex mutex;
@@ -36,9 +57,11 @@
 
     std::shared_ptr<shard> find(const std::string& upstream) const;
     std::shared_ptr<shard> find_or_create(const std::string& upstream);
+    std::vector<std::shared_ptr<shard>> all_shards() const;
 
     const std::string m_policy;
     const queue_limits m_limits;
+    std::function<void(const std::string&)> m_on_backlog;
     mutable std::shared_mutex m_mutex;
     absl::flat_hash_map<std::string, std::shared_ptr<shard>> m_shards; // guarded by m_mutex
 };
--- /dev/null
+++ b/source/core/dispatch/executor_health.cpp
@@ -0,0 +1,72 @@
+// The states of an executor: healthy, ejected, probing with one task at a time, recovering with a
+// limit that doubles.
+#include "core/dispatch/executor_health.h"
+
+#include <algorithm>
+
+namespace savorytrail::dispatch {
+namespace {
+
+constexpr std::uint32_t growth = 2;
+constexpr std::uint32_t limit_of_full_return = 16;
+
+} // namespace
+
+void executor_health::record(task_grade grade, common::time_point begun, common::time_point now) {
+    if (!counts(begun) || m_state == state::ejected)
+        return;
+    if (grade != task_grade::good) {
+        m_strikes++;
+        if (m_state != state::healthy)
+            eject(now);
+        return;
+    }
+    m_strikes = 0;
+    if (m_state != state::healthy)
+        advance();
+}
+
+void executor_health::eject(common::time_point now) {
+    if (m_state != state::healthy)
+        m_back_off = std::min(m_back_off * growth, max_back_off);
+    m_state = state::ejected;
+    m_strikes = 0;
+    m_ejected_at = now;
+    m_probe_at = now + m_back_off;
+}
+
+void executor_health::tick(common::time_point now) {
+    if (m_state != state::ejected || now < m_probe_at)
+        return;
+    m_state = state::probing;
+    m_limit = 1;
+    m_good = 0;
+}
+
+std::uint32_t executor_health::allowed(std::uint32_t slots) const {
+    switch (m_state) {
+    case state::healthy:
+        return slots;
+    case state::ejected:
+        return 0;
+    case state::probing:
+    case state::recovering:
+        break;
+    }
+    return std::min(slots, m_limit);
+}
+
+void executor_health::advance() {
+    m_state = state::recovering;
+    m_good++;
+    if (m_good < m_limit)
+        return;
+    m_limit *= growth;
+    m_good = 0;
+    if (m_limit < limit_of_full_return)
+        return;
+    m_state = state::healthy;
+    m_back_off = first_back_off;
+}
+
+} // namespace savorytrail::dispatch
--- /dev/null
+++ b/source/core/dispatch/job_queue.h
@@ -0,0 +1,191 @@
+// Jobs with tasks that wait or run, in the order in which their tasks are to be started.
+#pragma once
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "core/dispatch/policy.h"
+#include "core/dispatch/types.h"
+
+namespace savorytrail::dispatch {
+
+struct waiting_task {
+    std::uint32_t task = 0;
+    common::milliseconds typical{0};
+    shared_executor avoided; // where it could not be started last time; null at first
+};
+
+struct next_task {
+    submission::submission_id id;
+    waiting_task task;
+    std::uint64_t kind = 0;
+    common::milliseconds declared{0};
+};
+
+template <job_order Order>
+class job_queue {
+public:
+    bool is_empty() const { return m_order.empty(); }
+    std::size_t queued() const { return m_queued; }
+    common::milliseconds work() const { return m_work; }
+
+    // Work of the waiting jobs that would be served before this one, to the width of a bin.
+    common::milliseconds work_ahead_of(const ticket& job, common::milliseconds work) const {
+        const auto key = m_policy.key({job.arrived, job.deadline, work});
+        common::milliseconds ahead{0};
+        const auto end = m_work_by_bin.upper_bound(bin_of(key));
+        for (auto it = m_work_by_bin.begin(); it != end; ++it)
+            ahead += it->second;
+        return ahead;
+    }
+
+    // `tasks` must not be empty. `slots` is the number of tasks that can run at once.
+    void add(const ticket& job, std::vector<waiting_task> tasks, std::size_t slots) {
+        auto it = std::make_unique<entry>();
+        it->job = job;
+        for (const auto& task : tasks)
+            it->work += task.typical;
+        order_tasks(tasks, slots);
+        it->waiting = std::move(tasks);
+        m_queued += it->waiting.size();
+        m_work += it->work;
+        place(*it);
+        m_jobs.emplace(job.id, std::move(it));
+    }
+
+    // The executor that the first task of the order avoids, null when none.
+    const shared_executor& avoided_by_next() const {
+        return m_jobs.at(m_order.begin()->second)->waiting.back().avoided;
+    }
+
+    // Takes out the first task of the order. Must not be called when empty.
+    next_task pop() {
+        entry& it = *m_jobs.at(m_order.begin()->second);
+        unplace(it);
+        next_task next{it.job.id, std::move(it.waiting.back()), 0, common::milliseconds(0)};
+        it.waiting.pop_back();
+        it.work -= next.task.typical;
+        m_work -= next.task.typical;
+        m_queued--;
+        it.running++;
+        next.kind = next.task.task < it.job.kinds.size() ? it.job.kinds[next.task.task] : 0;
+        next.declared = it.job.expected[next.task.task];
+        if (!it.waiting.empty())
+            place(it);
+        return next;
+    }
+
+    // A task that was taken out has ended; `again` puts it back to wait.
+    void end(const submission::submission_id& id, const waiting_task* again) {
+        const auto found = m_jobs.find(id);
+        if (found == m_jobs.end())
+            return;
+        entry& it = *found->second;
+        it.running--;
+        if (again != nullptr && !it.is_cancelled) {
+            if (!it.waiting.empty())
+                unplace(it);
+            it.waiting.push_back(*again);
+            it.work += again->typical;
+            m_work += again->typical;
+            m_queued++;
+            place(it);
+        }
+        forget_if_done(it);
+    }
+
+    // Takes the job's waiting tasks out; tasks already taken out no longer come back.
+    void cancel(const submission::submission_id& id) {
+        const auto found = m_jobs.find(id);
+        if (found == m_jobs.end())
+            return;
+        entry& it = *found->second;
+        if (!it.waiting.empty())
+            unplace(it);
+        m_queued -= it.waiting.size();
+        m_work -= it.work;
+        it.waiting.clear();
+        it.work = common::milliseconds(0);
+        it.is_cancelled = true;
+        forget_if_done(it);
+    }
+
+    // Kind and estimate of a task of a job that is still known.
+    const ticket* find(const submission::submission_id& id) const {
+        const auto found = m_jobs.find(id);
+        return found == m_jobs.end() ? nullptr : &found->second->job;
+    }
+
+private:
+    struct entry {
+        ticket job;
+        std::vector<waiting_task> waiting; // the last is started first
+        common::milliseconds work{0};      // of the waiting tasks
+        std::int64_t key = 0;              // its place in m_order while tasks wait
+        std::size_t running = 0;           // tasks taken out and not yet ended
+        bool is_cancelled = false;         // its tasks no longer come back
+    };
+
+    using rank = std::pair<std::int64_t, submission::submission_id>;
+
+    static constexpr std::int64_t bin_width_ns = 50'000'000;
+
+    // The shortest tasks, one for each slot, are kept for the end and started longest first, so
+    // that the job does not end with a long task alone. The rest keeps the caller's order: a job
+    // that fills all slots with its longest tasks at once would leave none to others for as long.
+    static void order_tasks(std::vector<waiting_task>& tasks, std::size_t slots) {
+        const auto is_shorter = [](const waiting_task& a, const waiting_task& b) {
+            return a.typical < b.typical;
+        };
+        std::vector<waiting_task> sorted = tasks;
+        std::stable_sort(sorted.begin(), sorted.end(), is_shorter);
+        if (tasks.size() > slots) {
+            const auto last = sorted[slots - 1].typical;
+            auto rest = sorted.begin() + static_cast<std::ptrdiff_t>(slots);
+            std::size_t ties = std::count_if(sorted.begin(), rest, [last](const waiting_task& it) {
+                return it.typical == last;
+            });
+            for (const auto& it : tasks) {
+                if (it.typical < last || (it.typical == last && ties > 0 && ties-- > 0))
+                    continue;
+                *rest++ = it;
+            }
+        }
+        tasks = std::move(sorted);
+    }
+
+    static std::int64_t bin_of(std::int64_t key) { return key / bin_width_ns; }
+
+    void place(entry& it) {
+        it.key = m_policy.key({it.job.arrived, it.job.deadline, it.work});
+        m_order.insert({it.key, it.job.id});
+        m_work_by_bin[bin_of(it.key)] += it.work;
+    }
+
+    void unplace(const entry& it) {
+        m_order.erase({it.key, it.job.id});
+        const auto bin = m_work_by_bin.find(bin_of(it.key));
+        bin->second -= it.work;
+        if (bin->second.count() == 0)
+            m_work_by_bin.erase(bin);
+    }
+
+    void forget_if_done(const entry& it) {
+        if (it.waiting.empty() && it.running == 0)
+            m_jobs.erase(it.job.id);
+    }
+
+    Order m_policy;
+    absl::flat_hash_map<submission::submission_id, std::unique_ptr<entry>> m_jobs;
+    std::set<rank> m_order; // invariant: one rank for each job with waiting tasks, and no other
+    std::map<std::int64_t, common::milliseconds> m_work_by_bin; // the waiting work by key
+    std::size_t m_queued = 0;                                   // tasks waiting over all jobs
+    common::milliseconds m_work{0};                             // of those tasks
+};
+
+} // namespace savorytrail::dispatch
--- /dev/null
+++ b/source/core/dispatch/learned_times.h
@@ -0,0 +1,48 @@
+// Service times of an upstream's tasks, learned from answers. Tasks are told apart by kind: a hash
+// of the path without its query. A learned time replaces the caller's estimate.
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+
+#include "absl/container/flat_hash_map.h"
+#include "core/common/clock.h"
+
+namespace savorytrail::dispatch {
+
+// The kind of a task with this path and query.
+std::uint64_t task_kind(std::string_view path);
+
+struct time_estimate {
+    common::milliseconds typical{0};
+    common::milliseconds least{0}; // a task that ends sooner would be a surprise
+    common::milliseconds slow{0};  // a task that takes longer is overdue; zero when not learned
+
+    bool operator==(const time_estimate&) const = default;
+};
+
+class learned_times {
+public:
+    // Takes in the time of a task that an executor answered.
+    void record(std::uint64_t kind, common::milliseconds took);
+
+    // `declared` is the caller's estimate, zero when there is none.
+    time_estimate estimate(std::uint64_t kind, common::milliseconds declared) const;
+
+private:
+    // Exponentially weighted mean and mean deviation.
+    struct mean {
+        double mean_ms = 0;
+        double deviation_ms = 0;
+        std::uint32_t samples = 0;
+
+        void add(double sample_ms);
+        bool is_known() const;
+    };
+
+    // Invariant: at most max_kinds entries; further kinds are known by m_all alone.
+    absl::flat_hash_map<std::uint64_t, mean> m_kinds;
+    mean m_all;
+};
+
+} // namespace savorytrail::dispatch
--- a/source/core/dispatch/policy.h
+++ b/source/core/dispatch/policy.h
@@ -2,6 +2,7 @@
 // is a type that satisfies a concept, so that baselines run the same code as the standard policy.
 #pragma once
 
+#include <algorithm>
 #include <concepts>
 #include <cstddef>
 #include <cstdint>
@@ -15,7 +16,6 @@
 struct job_view {
     common::time_point arrived;
     common::time_point deadline;
-    std::size_t waiting_tasks = 0;
     common::milliseconds waiting_work{0}; // sum over the waiting tasks
 };
 
@@ -27,44 +27,65 @@
     bool is_free() const { return running < slots; }
 };
 
-// key() ranks jobs: the lowest is served first. A key must not depend on the present time.
+// key() ranks jobs: the lowest is served first. A key is a number of nanoseconds and must not
+// depend on the present time.
 template <typename T>
 concept job_order = requires(const T order, const job_view& view) {
     { order.key(view) } -> std::same_as<std::int64_t>;
 };
 
-// choose() returns the index of a free executor, or the number of executors when none is free.
+// choose() returns the index of a free executor, or the number of executors when none is free. It
+// takes the one at index `avoided` only when no other is free.
 template <typename T>
-concept placement = requires(T it, const std::vector<executor_view>& executors) {
-    { it.choose(executors) } -> std::same_as<std::size_t>;
+concept placement = requires(T it, const std::vector<executor_view>& executors,
+                             std::size_t avoided) {
+    { it.choose(executors, avoided) } -> std::same_as<std::size_t>;
 };
 
+inline std::int64_t nanoseconds_of(common::time_point it) {
+    return std::chrono::nanoseconds(it.time_since_epoch()).count();
+}
+
 // Jobs in order of arrival.
 struct arrival_order {
-    std::int64_t key(const job_view& view) const { return view.arrived.time_since_epoch().count(); }
+    std::int64_t key(const job_view& view) const { return nanoseconds_of(view.arrived); }
+};
+
+// The job with the earliest deadline first.
+struct deadline_order {
+    std::int64_t key(const job_view& view) const { return nanoseconds_of(view.deadline); }
+};
+
+// The job with the least waiting work first, without ageing.
+struct remaining_order {
+    std::int64_t key(const job_view& view) const {
+        return std::chrono::nanoseconds(view.waiting_work).count();
+    }
 };
 
-// The job that can be finished soonest first. Waiting work is added to the time of arrival, so that
-// a job that waits long overtakes smaller ones that came later.
-struct shortest_remaining_order {
+// Least waiting work first, with ageing: waiting work is added to the time of arrival, so that a
+// job is overtaken only by work that came before that.
+struct aged_remaining_order {
     std::int64_t key(const job_view& view) const {
-        return (view.arrived.time_since_epoch() + view.waiting_work).count();
+        const std::chrono::nanoseconds work = view.waiting_work;
+        return nanoseconds_of(view.arrived) + work.count();
     }
 };
 
 // The executor with the smallest share of its slots in use.
 struct least_loaded_placement {
-    std::size_t choose(const std::vector<executor_view>& executors) const {
+    std::size_t choose(const std::vector<executor_view>& executors, std::size_t avoided) const {
         std::size_t best = executors.size();
         for (std::size_t i = 0; i < executors.size(); i++) {
             const auto& it = executors[i];
-            if (!it.is_free())
+            if (!it.is_free() || i == avoided)
                 continue;
             if (best == executors.size() || std::uint64_t{it.running} * executors[best].slots <
                                                 std::uint64_t{executors[best].running} * it.slots)
                 best = i;
         }
-        return best;
+        const bool only_avoided = best == executors.size() && avoided < executors.size();
+        return only_avoided && executors[avoided].is_free() ? avoided : best;
     }
 };
 
@@ -72,7 +93,7 @@
 struct random_placement {
     std::uint64_t state = 1;
 
-    std::size_t choose(const std::vector<executor_view>& executors) {
+    std::size_t choose(const std::vector<executor_view>& executors, std::size_t) {
         std::vector<std::size_t> free;
         for (std::size_t i = 0; i < executors.size(); i++) {
             if (executors[i].is_free())
--- /dev/null
+++ b/source/core/dispatch/retry_budget.h
@@ -0,0 +1,28 @@
+// The budget for starting a task again after it provably reached no executor. Answers earn it, so
+// that an upstream that takes nothing is not flooded with retries.
+#pragma once
+
+#include <algorithm>
+
+namespace savorytrail::dispatch {
+
+class retry_budget {
+public:
+    void earn() { m_retries = std::min(max_retries, m_retries + retries_per_answer); }
+
+    // False when the budget is spent.
+    bool take() {
+        if (m_retries < 1)
+            return false;
+        m_retries -= 1;
+        return true;
+    }
+
+private:
+    static constexpr double max_retries = 100;
+    static constexpr double retries_per_answer = 0.1;
+
+    double m_retries = max_retries; // invariant: from 0 to max_retries
+};
+
+} // namespace savorytrail::dispatch
--- a/source/core/dispatch/types.h
+++ b/source/core/dispatch/types.h
@@ -24,6 +24,8 @@
     common::time_point arrived;
     common::time_point deadline = common::time_point::max();
     std::vector<common::milliseconds> expected; // the caller's estimate for each task
+    std::vector<std::uint64_t> kinds;           // task_kind() of each task; empty when not known
+    std::uint32_t fleet_slots = 0;              // of the upstream in the manifest; 0 when not known
 
     bool operator==(const ticket&) const = default;
 };
@@ -64,11 +66,31 @@
     bool operator==(const executor_share&) const = default;
 };
 
+// Slots of an executor by name, as they are lent and given back.
+struct executor_slots {
+    std::string executor;
+    std::uint32_t slots = 0;
+
+    bool operator==(const executor_slots&) const = default;
+};
+
+// What a queue could borrow or give back.
+struct slot_demand {
+    std::string upstream;
+    std::size_t queued_tasks = 0;
+    std::size_t idle_own = 0;                  // own slots that could be lent
+    std::vector<executor_slots> idle_borrowed; // borrowed slots without a task
+
+    bool operator==(const slot_demand&) const = default;
+};
+
 struct queue_status {
     std::string upstream;
     std::size_t queued_tasks = 0;
     std::size_t running_tasks = 0;
-    std::size_t slots = 0;
+    std::size_t slots = 0;             // that may be used now, borrowed ones included
+    std::size_t idle_slots = 0;        // of those
+    std::size_t ejected_executors = 0; // that get no work but probes
 
     bool operator==(const queue_status&) const = default;
 };
--- a/source/core/dispatch/upstream_queue.cpp
+++ b/source/core/dispatch/upstream_queue.cpp
@@ -2,217 +2,248 @@
 #include "core/dispatch/upstream_queue.h"
 
 #include <algorithm>
-#include <deque>
-#include <set>
 
-#include "absl/container/flat_hash_map.h"
-#include "absl/strings/str_cat.h"
+#include "core/dispatch/admission.h"
+#include "core/dispatch/executor_pool.h"
+#include "core/dispatch/job_queue.h"
+#include "core/dispatch/learned_times.h"
 #include "core/dispatch/policy.h"
+#include "core/dispatch/retry_budget.h"
 
 namespace savorytrail::dispatch {
 namespace {
 
-constexpr common::milliseconds default_task_time{250};
+constexpr common::milliseconds given_up_retry{1000};
+
+using standard_order = aged_remaining_order;
+
+struct queue_options {
+    bool ejects = true; // executors that fail or lag
+    bool admits = true; // only jobs that can meet their deadline
+
+    bool operator==(const queue_options&) const = default;
+};
 
 template <job_order Order, placement Placement>
 class basic_upstream_queue final : public upstream_queue {
 public:
-    basic_upstream_queue(std::string name, queue_limits limits)
-        : m_name(std::move(name)), m_limits(limits) {}
+    basic_upstream_queue(std::string name, queue_limits limits, queue_options options)
+        : m_name(std::move(name)), m_limits(limits), m_options(options), m_pool(options.ejects) {}
 
     verdict submit(const ticket& job, common::time_point now, std::vector<start>& starts) override;
-    void complete(const start& done, completion how, common::milliseconds took,
-                  common::time_point now, std::vector<start>& starts) override;
-    void cancel(const submission::submission_id& id) override;
+    std::optional<verdict> complete(const start& done, completion how, common::milliseconds took,
+                                    common::time_point now, std::vector<start>& starts) override;
+    void cancel(const submission::submission_id& id) override { m_queue.cancel(id); }
     void set_executors(const std::vector<executor_share>& shares, common::time_point now,
                        std::vector<start>& starts) override;
+    void tick(common::time_point now, std::vector<start>& starts) override;
     queue_status status() const override;
 
+    std::vector<executor_slots> lend(std::uint32_t wanted) override;
+    void take_back(const std::vector<executor_slots>& slots, common::time_point now,
+                   std::vector<start>& starts) override;
+    void add_borrowed(const std::vector<executor_share>& slots, common::time_point now,
+                      std::vector<start>& starts) override;
+    std::vector<executor_slots> give_back(const std::vector<executor_slots>& slots) override;
+    void end_borrowed(const std::vector<executor_slots>& slots) override;
+    void set_borrowable(std::optional<std::size_t> slots) override { m_borrowable = slots; }
+    slot_demand demand() const override;
+    bool has_backlog() const override { return !m_queue.is_empty(); }
+
 private:
-    struct waiting_job {
-        ticket job;
-        std::deque<std::uint32_t> waiting; // task indices in the order they are started
-        common::milliseconds work{0};      // of the waiting tasks
-        std::int64_t key = 0;              // its place in m_order while tasks wait
-        std::size_t running = 0;           // starts not yet completed
-        bool is_cancelled = false;         // its tasks no longer go back to the queue
-    };
-
-    using rank = std::pair<std::int64_t, submission::submission_id>;
-
-    void place(waiting_job& it);
-    void unplace(const waiting_job& it);
-    void put_back(waiting_job& it, std::uint32_t task);
-    void forget_if_done(const waiting_job& it);
-    common::milliseconds time_of(const waiting_job& it, std::uint32_t task) const;
-    common::milliseconds time_to_drain() const;
-    void match(std::vector<start>& starts);
-    std::size_t slots() const;
+    static std::uint64_t kind_of(const ticket& job, std::uint32_t task) {
+        return task < job.kinds.size() ? job.kinds[task] : 0;
+    }
+
+    job_demand measure(const ticket& job, common::time_point now,
+                       std::vector<waiting_task>& tasks) const;
+    verdict admit(const ticket& job, const job_demand& demand) const;
+    void match(common::time_point now, std::vector<start>& starts);
 
     const std::string m_name;
     const queue_limits m_limits;
-    Order m_order_policy;
+    const queue_options m_options;
     Placement m_placement;
-    // Jobs with tasks that wait or run. Invariant: m_order holds one rank for each job with waiting
-    // tasks, and no other.
-    absl::flat_hash_map<submission::submission_id, std::unique_ptr<waiting_job>> m_jobs;
-    std::set<rank> m_order;
-    std::vector<shared_executor> m_executors;
-    std::vector<executor_view> m_load; // parallel to m_executors
-    std::size_t m_queued = 0;          // tasks waiting over all jobs
-    std::size_t m_running = 0;         // starts not yet completed
+    job_queue<Order> m_queue;
+    executor_pool m_pool;
+    learned_times m_times;
+    retry_budget m_retries;
+    std::optional<std::size_t> m_borrowable;
 };
 
 template <job_order Order, placement Placement>
-verdict basic_upstream_queue<Order, Placement>::submit(const ticket& job, common::time_point,
+verdict basic_upstream_queue<Order, Placement>::submit(const ticket& job, common::time_point now,
                                                        std::vector<start>& starts) {
-    if (m_executors.empty())
-        return {false, job::reason::no_executors,
-                absl::StrCat("upstream ", m_name, " has no executor here"), std::nullopt};
-    if (m_queued + job.expected.size() > m_limits.max_queued_tasks)
-        return {false, job::reason::queue_full,
-                absl::StrCat(m_queued, " tasks wait for upstream ", m_name), time_to_drain()};
-
-    auto it = std::make_unique<waiting_job>();
-    it->job = job;
+    std::vector<waiting_task> tasks;
+    const auto demand = measure(job, now, tasks);
+    auto verdict = admit(job, demand);
+    if (!verdict.is_accepted)
+        return verdict;
+    m_queue.add(job, std::move(tasks), std::max<std::size_t>(m_pool.slots(), 1));
+    match(now, starts);
+    return verdict;
+}
+
+template <job_order Order, placement Placement>
+job_demand basic_upstream_queue<Order, Placement>::measure(const ticket& job,
+                                                           common::time_point now,
+                                                           std::vector<waiting_task>& tasks) const {
+    job_demand demand;
+    demand.tasks = job.expected.size();
+    demand.time_left = std::chrono::duration_cast<common::milliseconds>(
+        job.deadline - std::min(now, job.deadline));
+    tasks.reserve(job.expected.size());
     for (std::uint32_t i = 0; i < job.expected.size(); i++) {
-        it->waiting.push_back(i);
-        it->work += time_of(*it, i);
+        const auto it = m_times.estimate(kind_of(job, i), job.expected[i]);
+        const bool is_learned = it.slow.count() > 0;
+        tasks.push_back({i, it.typical, nullptr});
+        demand.work += it.typical;
+        demand.least_work += it.least;
+        demand.least_longest = std::max(demand.least_longest, it.least);
+        demand.likely = std::max(demand.likely, is_learned ? it.typical : it.least);
     }
-    m_queued += it->waiting.size();
-    place(*it);
-    m_jobs.emplace(job.id, std::move(it));
-    match(starts);
-    return {};
+    return demand;
 }
 
 template <job_order Order, placement Placement>
-void basic_upstream_queue<Order, Placement>::complete(const start& done, completion how,
-                                                      common::milliseconds, common::time_point,
-                                                      std::vector<start>& starts) {
-    m_running--;
-    for (std::size_t i = 0; i < m_executors.size(); i++) {
-        if (m_executors[i]->name == done.executor->name && m_load[i].running > 0)
-            m_load[i].running--;
+verdict basic_upstream_queue<Order, Placement>::admit(const ticket& job,
+                                                      const job_demand& demand) const {
+    queue_capacity queue;
+    queue.queued = m_queue.queued();
+    queue.max_queued = m_limits.max_queued_tasks;
+    queue.slots = m_pool.slots() + m_borrowable.value_or(0);
+    queue.idle = m_pool.idle();
+    queue.fleet_slots = job.fleet_slots;
+    queue.work = m_queue.work();
+    queue.task_time =
+        demand.work / static_cast<std::int64_t>(std::max<std::size_t>(demand.tasks, 1));
+    if (m_options.admits && !m_queue.is_empty())
+        queue.work_ahead = m_queue.work_ahead_of(job, demand.work);
+    if (m_options.admits)
+        return judge(m_name, demand, queue);
+    auto without_deadline = demand;
+    without_deadline.time_left = common::milliseconds::max();
+    return judge(m_name, without_deadline, queue);
+}
+
+template <job_order Order, placement Placement>
+std::optional<verdict>
+basic_upstream_queue<Order, Placement>::complete(const start& done, completion how,
+                                                 common::milliseconds took, common::time_point now,
+                                                 std::vector<start>& starts) {
+    m_pool.end(done, how, now);
+    std::optional<verdict> given_up;
+    const ticket* job = m_queue.find(done.id);
+    if (how == completion::answered) {
+        m_retries.earn();
+        if (job != nullptr)
+            m_times.record(kind_of(*job, done.task), took);
     }
-    const auto found = m_jobs.find(done.id);
-    if (found != m_jobs.end()) {
-        found->second->running--;
-        if (how == completion::not_started)
-            put_back(*found->second, done.task);
-        forget_if_done(*found->second);
+    if (job != nullptr && how == completion::not_started && m_retries.take()) {
+        const auto estimate = m_times.estimate(kind_of(*job, done.task), job->expected[done.task]);
+        const waiting_task again{done.task, estimate.typical, done.executor};
+        m_queue.end(done.id, &again);
+    } else {
+        if (job != nullptr && how == completion::not_started)
+            given_up = verdict{false, job::reason::retries_exhausted,
+                               "the executor could not be reached and the retry budget is spent",
+                               given_up_retry};
+        m_queue.end(done.id, nullptr);
+        if (given_up)
+            m_queue.cancel(done.id);
     }
-    match(starts);
+    match(now, starts);
+    return given_up;
 }
 
 template <job_order Order, placement Placement>
-void basic_upstream_queue<Order, Placement>::cancel(const submission::submission_id& id) {
-    const auto found = m_jobs.find(id);
-    if (found == m_jobs.end())
-        return;
-    waiting_job& it = *found->second;
-    unplace(it);
-    m_queued -= it.waiting.size();
-    it.waiting.clear();
-    it.work = common::milliseconds(0);
-    it.is_cancelled = true;
-    forget_if_done(it);
+void basic_upstream_queue<Order, Placement>::set_executors(
+    const std::vector<executor_share>& shares, common::time_point now, std::vector<start>& starts) {
+    m_pool.set_own(shares);
+    match(now, starts);
 }
 
 template <job_order Order, placement Placement>
-void basic_upstream_queue<Order, Placement>::put_back(waiting_job& it, std::uint32_t task) {
-    if (it.is_cancelled)
-        return;
-    unplace(it);
-    it.waiting.push_front(task);
-    it.work += time_of(it, task);
-    m_queued++;
-    place(it);
+void basic_upstream_queue<Order, Placement>::tick(common::time_point now,
+                                                  std::vector<start>& starts) {
+    m_pool.tick(now);
+    match(now, starts);
 }
 
 template <job_order Order, placement Placement>
-void basic_upstream_queue<Order, Placement>::forget_if_done(const waiting_job& it) {
-    if (it.waiting.empty() && it.running == 0)
-        m_jobs.erase(it.job.id);
+queue_status basic_upstream_queue<Order, Placement>::status() const {
+    return {m_name,         m_queue.queued(), m_pool.running(),
+            m_pool.slots(), m_pool.idle(),    m_pool.ejected()};
 }
 
 template <job_order Order, placement Placement>
-void basic_upstream_queue<Order, Placement>::set_executors(
-    const std::vector<executor_share>& shares, common::time_point, std::vector<start>& starts) {
-    std::vector<shared_executor> executors;
-    std::vector<executor_view> load;
-    for (const auto& share : shares) {
-        executor_view view{share.slots, 0};
-        for (std::size_t i = 0; i < m_executors.size(); i++) {
-            if (m_executors[i]->name == share.executor.name)
-                view.running = m_load[i].running;
-        }
-        executors.push_back(std::make_shared<const manifest::executor>(share.executor));
-        load.push_back(view);
-    }
-    m_executors = std::move(executors);
-    m_load = std::move(load);
-    match(starts);
+std::vector<executor_slots> basic_upstream_queue<Order, Placement>::lend(std::uint32_t wanted) {
+    return m_queue.is_empty() ? m_pool.lend(wanted) : std::vector<executor_slots>{};
 }
 
 template <job_order Order, placement Placement>
-queue_status basic_upstream_queue<Order, Placement>::status() const {
-    return {m_name, m_queued, m_running, slots()};
+void basic_upstream_queue<Order, Placement>::take_back(const std::vector<executor_slots>& slots,
+                                                       common::time_point now,
+                                                       std::vector<start>& starts) {
+    for (const auto& it : slots)
+        m_pool.take_back(it);
+    match(now, starts);
 }
 
 template <job_order Order, placement Placement>
-void basic_upstream_queue<Order, Placement>::place(waiting_job& it) {
-    it.key = m_order_policy.key({it.job.arrived, it.job.deadline, it.waiting.size(), it.work});
-    m_order.insert({it.key, it.job.id});
+void basic_upstream_queue<Order, Placement>::add_borrowed(const std::vector<executor_share>& slots,
+                                                          common::time_point now,
+                                                          std::vector<start>& starts) {
+    for (const auto& it : slots)
+        m_pool.add_borrowed(it.executor, it.slots);
+    match(now, starts);
 }
 
 template <job_order Order, placement Placement>
-void basic_upstream_queue<Order, Placement>::unplace(const waiting_job& it) {
-    m_order.erase({it.key, it.job.id});
+std::vector<executor_slots>
+basic_upstream_queue<Order, Placement>::give_back(const std::vector<executor_slots>& slots) {
+    std::vector<executor_slots> given;
+    for (const auto& it : slots) {
+        const auto n = m_pool.give_back(it);
+        if (n > 0)
+            given.push_back({it.executor, n});
+    }
+    return given;
 }
 
 template <job_order Order, placement Placement>
-common::milliseconds basic_upstream_queue<Order, Placement>::time_of(const waiting_job& it,
-                                                                     std::uint32_t task) const {
-    const auto expected = it.job.expected[task];
-    return expected.count() > 0 ? expected : default_task_time;
+void basic_upstream_queue<Order, Placement>::end_borrowed(
+    const std::vector<executor_slots>& slots) {
+    for (const auto& it : slots)
+        m_pool.end_borrowed(it);
 }
 
 template <job_order Order, placement Placement>
-common::milliseconds basic_upstream_queue<Order, Placement>::time_to_drain() const {
-    common::milliseconds work{0};
-    for (const auto& [id, it] : m_jobs)
-        work += it->work;
-    return work / std::max<std::size_t>(slots(), 1) + common::milliseconds(1);
+slot_demand basic_upstream_queue<Order, Placement>::demand() const {
+    return {m_name, m_queue.queued(), m_pool.idle_own(), m_pool.idle_borrowed()};
 }
 
 template <job_order Order, placement Placement>
-void basic_upstream_queue<Order, Placement>::match(std::vector<start>& starts) {
-    while (!m_order.empty()) {
-        const std::size_t chosen = m_placement.choose(m_load);
-        if (chosen == m_load.size())
+void basic_upstream_queue<Order, Placement>::match(common::time_point now,
+                                                   std::vector<start>& starts) {
+    while (!m_queue.is_empty() && m_pool.idle() > 0) {
+        const auto& avoided = m_queue.avoided_by_next();
+        const std::size_t avoided_index =
+            avoided ? m_pool.find(avoided->name) : m_pool.views().size();
+        const std::size_t chosen = m_placement.choose(m_pool.views(), avoided_index);
+        if (chosen == m_pool.views().size())
             return;
-        waiting_job& it = *m_jobs.at(m_order.begin()->second);
-        unplace(it);
-        const std::uint32_t task = it.waiting.front();
-        it.waiting.pop_front();
-        it.work -= time_of(it, task);
-        m_queued--;
-        m_running++;
-        m_load[chosen].running++;
-        starts.push_back({it.job.id, task, m_name, m_executors[chosen]});
-        it.running++;
-        if (!it.waiting.empty())
-            place(it);
+        const auto next = m_queue.pop();
+        const auto slow_after = m_times.estimate(next.kind, next.declared).slow;
+        auto executor = m_pool.begin(chosen, next.id, next.task.task, slow_after, now);
+        starts.push_back({next.id, next.task.task, m_name, std::move(executor)});
     }
 }
 
-template <job_order Order, placement Placement>
-std::size_t basic_upstream_queue<Order, Placement>::slots() const {
-    std::size_t n = 0;
-    for (const auto& it : m_load)
-        n += it.slots;
-    return n;
+template <job_order Order, placement Placement = least_loaded_placement>
+std::unique_ptr<upstream_queue> make_queue(const std::string& upstream, queue_limits limits,
+                                           queue_options options = {}) {
+    return std::make_unique<basic_upstream_queue<Order, Placement>>(upstream, limits, options);
 }
 
 } // namespace
@@ -220,13 +251,20 @@
 std::unique_ptr<upstream_queue> make_upstream_queue(const std::string& upstream,
                                                     std::string_view policy, queue_limits limits) {
     if (policy == "fifo")
-        return std::make_unique<basic_upstream_queue<arrival_order, least_loaded_placement>>(
-            upstream, limits);
+        return make_queue<arrival_order>(upstream, limits);
     if (policy == "random")
-        return std::make_unique<basic_upstream_queue<arrival_order, random_placement>>(upstream,
-                                                                                       limits);
-    return std::make_unique<basic_upstream_queue<shortest_remaining_order, least_loaded_placement>>(
-        upstream, limits);
+        return make_queue<arrival_order, random_placement>(upstream, limits);
+    if (policy == "deadline")
+        return make_queue<deadline_order>(upstream, limits);
+    if (policy == "remaining")
+        return make_queue<remaining_order>(upstream, limits);
+    if (policy == "fifo_no_admission")
+        return make_queue<arrival_order>(upstream, limits, {true, false});
+    if (policy == "no_ejection")
+        return make_queue<standard_order>(upstream, limits, {false, true});
+    if (policy == "no_admission")
+        return make_queue<standard_order>(upstream, limits, {true, false});
+    return make_queue<standard_order>(upstream, limits);
 }
 
 } // namespace savorytrail::dispatch
--- a/source/core/dispatch/upstream_queue.h
+++ b/source/core/dispatch/upstream_queue.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -18,15 +19,35 @@
 
     virtual verdict submit(const ticket& job, common::time_point now,
                            std::vector<start>& starts) = 0;
-    virtual void complete(const start& done, completion how, common::milliseconds took,
-                          common::time_point now, std::vector<start>& starts) = 0;
+    // Frees the start's slot. A verdict comes back when its job is to be given up, since the task
+    // reached no executor and the retry budget is spent.
+    virtual std::optional<verdict> complete(const start& done, completion how,
+                                            common::milliseconds took, common::time_point now,
+                                            std::vector<start>& starts) = 0;
     // Takes the job's waiting tasks out of the queue; tasks that run keep their slots.
     virtual void cancel(const submission::submission_id& id) = 0;
-    // Replaces the slots this entry may use. Tasks on an executor that is gone run on.
+    // Replaces the slots this entry owns. Tasks on an executor that is gone run on.
     virtual void set_executors(const std::vector<executor_share>& shares, common::time_point now,
                                std::vector<start>& starts) = 0;
+    // Decisions that fall due with time: ejections of executors that are silent, probes.
+    virtual void tick(common::time_point now, std::vector<start>& starts) = 0;
     virtual queue_status status() const = 0;
 
+    // Takes up to `wanted` idle own slots out of use, to lend them.
+    virtual std::vector<executor_slots> lend(std::uint32_t wanted) = 0;
+    virtual void take_back(const std::vector<executor_slots>& slots, common::time_point now,
+                           std::vector<start>& starts) = 0;
+    virtual void add_borrowed(const std::vector<executor_share>& slots, common::time_point now,
+                              std::vector<start>& starts) = 0;
+    // Gives back those of the slots that are idle; returns them.
+    virtual std::vector<executor_slots> give_back(const std::vector<executor_slots>& slots) = 0;
+    // Borrowed slots whose loan is over. Tasks on them run on.
+    virtual void end_borrowed(const std::vector<executor_slots>& slots) = 0;
+    // Slots that peers could lend, for admission; nullopt when there is no peer to borrow from.
+    virtual void set_borrowable(std::optional<std::size_t> slots) = 0;
+    virtual slot_demand demand() const = 0;
+    virtual bool has_backlog() const = 0;
+
 protected:
     upstream_queue() = default;
     upstream_queue(const upstream_queue&) = default;
@@ -39,7 +60,7 @@
     bool operator==(const queue_limits&) const = default;
 };
 
-// `policy` is one of the names in schema/settings.proto.
+// `policy` is one of the names in schema/settings.proto, or of an order that was weighed.
 std::unique_ptr<upstream_queue> make_upstream_queue(const std::string& upstream,
                                                     std::string_view policy, queue_limits limits);
 
--- a/source/core/home/home.cpp
+++ b/source/core/home/home.cpp
@@ -5,6 +5,7 @@
 #include <mutex>
 
 #include "absl/strings/str_cat.h"
+#include "core/dispatch/learned_times.h"
 #include "core/job/job_codec.h"
 
 namespace savorytrail::home {
@@ -33,6 +34,26 @@
     return std::make_shared<const job::answer>(std::move(it));
 }
 
+dispatch::ticket make_ticket(const submission::submission_id& id, const job::job& job,
+                             const manifest::upstream& upstream, common::time_point now,
+                             common::time_point deadline) {
+    dispatch::ticket ticket;
+    ticket.id = id;
+    ticket.team = job.team;
+    ticket.upstream = job.upstream;
+    ticket.arrived = now;
+    ticket.deadline = deadline;
+    ticket.expected.reserve(job.tasks.size());
+    ticket.kinds.reserve(job.tasks.size());
+    for (const auto& it : job.tasks) {
+        ticket.expected.push_back(it.expected);
+        ticket.kinds.push_back(dispatch::task_kind(it.path));
+    }
+    for (const auto& it : upstream.executors)
+        ticket.fleet_slots += it.slots;
+    return ticket;
+}
+
 request_result answered(submission::shared_answer answer) {
     return {request_outcome::answered, std::move(answer)};
 }
@@ -137,8 +158,10 @@
     if (ends_job)
         m_dispatcher.cancel(task.where.upstream, task.where.id);
     std::vector<dispatch::start> starts;
-    m_dispatcher.complete(task.where, to_completion(outcome.end), outcome.took, m_clock.now(),
-                          starts);
+    const auto given_up = m_dispatcher.complete(task.where, to_completion(outcome.end),
+                                                outcome.took, m_clock.now(), starts);
+    if (given_up)
+        m_ledger.give_up(task.where.id, given_up->why, given_up->detail, given_up->retry_after);
     send(std::move(starts));
 }
 
@@ -162,6 +185,9 @@
         m_dispatcher.cancel(it.upstream, it.id);
     }
     m_ledger.forget_expired(now);
+    std::vector<dispatch::start> starts;
+    m_dispatcher.tick(now, starts);
+    send(std::move(starts));
 }
 
 dispatch::verdict home::admit(const submission::submission_id& id,
@@ -175,16 +201,14 @@
     if (manifest->find_team(job->team) == nullptr)
         return {false, job::reason::unknown_team,
                 absl::StrCat("the manifest has no team ", job->team), std::nullopt};
-    if (manifest->find_upstream(job->upstream) == nullptr)
+    const auto* upstream = manifest->find_upstream(job->upstream);
+    if (upstream == nullptr)
         return {false, job::reason::unknown_upstream,
                 absl::StrCat("the manifest has no upstream ", job->upstream), std::nullopt};
 
     const auto now = m_clock.now();
     const auto allowed = job->deadline.count() > 0 ? job->deadline : m_limits.default_deadline;
-    dispatch::ticket ticket{id, job->team, job->upstream, now, now + allowed, {}};
-    ticket.expected.reserve(job->tasks.size());
-    for (const auto& it : job->tasks)
-        ticket.expected.push_back(it.expected);
+    const auto ticket = make_ticket(id, *job, *upstream, now, now + allowed);
     m_deadlines.add(ticket.deadline, {id, job->upstream});
     return m_dispatcher.submit(ticket, now, starts);
 }
--- a/source/core/job/job.cpp
+++ b/source/core/job/job.cpp
@@ -9,7 +9,7 @@
 constexpr std::array<std::string_view, 5> s_answer_states = {"running", "complete", "failed",
                                                              "refused", "unavailable"};
 constexpr std::array<std::string_view, 3> s_task_states = {"ran", "not_run", "unknown"};
-constexpr std::array<std::string_view, 20> s_reasons = {"none",
+constexpr std::array<std::string_view, 21> s_reasons = {"none",
                                                         "cancelled",
                                                         "deadline_passed",
                                                         "task_failed",
@@ -28,7 +28,8 @@
                                                         "not_configured",
                                                         "store_unavailable",
                                                         "wait_over",
-                                                        "never_submitted"};
+                                                        "never_submitted",
+                                                        "retries_exhausted"};
 
 } // namespace
 
--- a/source/core/job/job.h
+++ b/source/core/job/job.h
@@ -56,6 +56,7 @@
     store_unavailable,    // the platform's table cannot be reached
     wait_over,            // still running when the caller's wait ended
     never_submitted,      // the id is valid and nothing was submitted under it
+    retries_exhausted,    // a task reached no executor and the retry budget is spent
 };
 
 std::string_view to_string(answer_state value);
--- a/source/core/job/job_codec.cpp
+++ b/source/core/job/job_codec.cpp
@@ -48,7 +48,7 @@
 
 std::optional<answer> from_message(const schema::answer_message& message) {
     if (message.state() > static_cast<std::uint32_t>(answer_state::unavailable) ||
-        message.reason() > static_cast<std::uint32_t>(reason::never_submitted))
+        message.reason() > static_cast<std::uint32_t>(reason::retries_exhausted))
         return std::nullopt;
 
     answer value;
