Benchmark of the dispatcher's decisions

A discrete-event loop around the dispatchers themselves; every policy of a scenario meets the same jobs, and the same seed prints the same figures.

--- /dev/null
+++ b/source/benchmarks/dispatch_benchmark.cpp
@@ -0,0 +1,113 @@
+// Measures the dispatcher's decisions: for each scenario, one JSON line per policy. Every policy of
+// a scenario meets the same jobs. Runs with the same seed print the same figures.
+#include <algorithm>
+#include <iostream>
+#include <nlohmann/json.hpp>
+
+#include "benchmarks/simulation.h"
+
+namespace {
+
+using namespace savorytrail::benchmarks;
+
+struct experiment {
+    scenario settings;
+    std::vector<policy> policies;
+};
+
+double quantile(const std::vector<double>& sorted, double share) {
+    if (sorted.empty())
+        return 0;
+    const auto index = static_cast<std::size_t>(share * double(sorted.size() - 1));
+    return sorted[index];
+}
+
+void print(const scenario& settings, const policy& chosen, measurement it) {
+    std::sort(it.stretch.begin(), it.stretch.end());
+    const double slots = double(settings.executors) * settings.slots;
+    nlohmann::ordered_json line;
+    line["scenario"] = settings.name;
+    line["policy"] = chosen.name;
+    line["seed"] = settings.seed;
+    line["jobs"] = it.jobs;
+    line["p50"] = quantile(it.stretch, 0.5);
+    line["p95"] = quantile(it.stretch, 0.95);
+    line["p99"] = quantile(it.stretch, 0.99);
+    line["max"] = quantile(it.stretch, 1);
+    line["failed"] = it.failed_jobs;
+    line["refused"] = it.refused_jobs;
+    line["late"] = it.late_jobs;
+    line["mean_wait_ms"] = it.waited_ms / double(std::max<std::size_t>(it.starts, 1));
+    line["goodput_over_slots"] = it.useful_work_ms / (slots * double(settings.time_limit.count()));
+    if (settings.burst_load > 0)
+        line["burst_goodput_over_slots"] =
+            it.burst_work_ms / (slots * double(settings.time_limit.count()) / 3);
+    line["overfilled_share"] = double(it.overfilled_starts) / double(it.starts);
+    line["messages_per_task"] =
+        2 + double(it.control_messages + 2 * it.retries) / double(it.starts);
+    std::cout << line.dump() << std::endl;
+}
+
+std::vector<experiment> experiments() {
+    scenario order;
+    order.name = "order_of_mixed_jobs";
+    order.entries = 1;
+    order.executors = 16;
+    order.load = 0.9;
+    order.smallest_job = 1;
+    order.largest_job = 1000;
+    order.time_limit = milliseconds(1800000);
+    scenario deadlines = order;
+    deadlines.name = "order_under_deadlines";
+    deadlines.deadline_over_ideal = 8;
+    const std::vector<policy> orders = {
+        {"arrival", "fifo"},
+        {"earliest_deadline", "deadline"},
+        {"remaining", "remaining"},
+        {"standard", "standard"},
+        {"standard_declared_times", "standard", placement_mode::partition, false}};
+
+    scenario healthy;
+    healthy.name = "healthy";
+    healthy.entries = 1;
+    scenario failing = healthy;
+    failing.name = "one_in_ten_fails_everything";
+    failing.failing_executors = healthy.executors / 10;
+    failing.fault_begins = milliseconds(10000);
+    scenario slow = healthy;
+    slow.name = "one_in_ten_is_ten_times_slower";
+    slow.slow_executors = healthy.executors / 10;
+    slow.fault_begins = milliseconds(10000);
+    scenario refusing = healthy;
+    refusing.name = "one_in_ten_refuses_connections";
+    refusing.refusing_executors = healthy.executors / 10;
+    refusing.fault_begins = milliseconds(10000);
+    const std::vector<policy> ejections = {{"no_ejection", "no_ejection"},
+                                           {"standard", "standard"}};
+
+    scenario burst = healthy;
+    burst.name = "ten_fold_burst";
+    burst.burst_load = 7;
+    burst.deadline_over_ideal = 20;
+    const std::vector<policy> admissions = {{"arrival_no_admission", "fifo_no_admission"},
+                                            {"no_admission", "no_admission"},
+                                            {"earliest_deadline", "deadline"},
+                                            {"standard", "standard"}};
+    return {{order, orders},   {deadlines, orders},   {healthy, ejections}, {failing, ejections},
+            {slow, ejections}, {refusing, ejections}, {burst, admissions}};
+}
+
+} // namespace
+
+// Arguments: names of scenarios; none for all.
+int main(int argc, char** argv) {
+    const std::vector<std::string> names(argv + 1, argv + argc);
+    for (const auto& it : experiments()) {
+        if (!names.empty() &&
+            std::find(names.begin(), names.end(), it.settings.name) == names.end())
+            continue;
+        for (const auto& chosen : it.policies)
+            print(it.settings, chosen, simulation(it.settings, chosen).run());
+    }
+    return 0;
+}
--- /dev/null
+++ b/source/benchmarks/simulation.cpp
@@ -0,0 +1,268 @@
+// Events of the simulation: arrivals, starts, ends and ticks.
+#include "benchmarks/simulation.h"
+
+#include <algorithm>
+#include <cmath>
+#include <deque>
+
+#include "core/dispatch/learned_times.h"
+#include "core/dispatch/partition.h"
+
+namespace savorytrail::benchmarks {
+namespace {
+
+constexpr nanoseconds one_way = std::chrono::microseconds(500);
+constexpr milliseconds tick_period{20};
+constexpr milliseconds failure_time{2};
+constexpr milliseconds drain_time{60000};
+constexpr int slow_factor = 10;
+constexpr std::array<int, 6> kind_times_ms{50, 100, 200, 400, 700, 1000};
+constexpr double mean_task_ms = 2450.0 / kind_times_ms.size();
+
+double uniform(std::mt19937_64& random, double low, double high) {
+    return std::uniform_real_distribution<double>(low, high)(random);
+}
+
+} // namespace
+
+struct simulation::running_job {
+    dispatch::ticket ticket;
+    std::vector<milliseconds> times;
+    milliseconds work{0};
+    nanoseconds ideal{0};
+    std::size_t unfinished = 0;
+    bool is_over = false;
+};
+
+struct simulation::executor_state {
+    manifest::executor value;
+    std::size_t index = 0;
+    std::uint32_t running = 0;
+    std::deque<std::function<void()>> waiting; // beyond its slots
+};
+
+struct simulation::entry_state {
+    entry_state(std::string vm, const std::string& queue)
+        : name(std::move(vm)), dispatcher(queue, {}) {}
+
+    std::string name;
+    dispatch::dispatcher dispatcher;
+    std::map<submission::submission_id, running_job> jobs;
+};
+
+simulation::simulation(const scenario& settings, const policy& chosen)
+    : m_settings(settings), m_policy(chosen), m_random(settings.seed) {
+    std::vector<std::string> names;
+    for (std::size_t i = 0; i < settings.entries; i++)
+        names.push_back("entry-" + std::to_string(i));
+    for (std::size_t i = 0; i < settings.executors; i++) {
+        auto it = std::make_unique<executor_state>();
+        it->index = i;
+        it->value.name = "executor-" + std::to_string(i);
+        it->value.slots = settings.slots;
+        m_by_name[it->value.name] = it.get();
+        m_executors.push_back(std::move(it));
+    }
+    for (const auto& name : names) {
+        auto it = std::make_unique<entry_state>(name, chosen.queue);
+        std::vector<dispatch::executor_share> shares;
+        for (const auto& executor : m_executors) {
+            const bool is_own = dispatch::owner_of(executor->value.name, names) == name;
+            if (is_own || chosen.mode == placement_mode::independent)
+                shares.push_back({executor->value, executor->value.slots});
+        }
+        std::vector<dispatch::start> starts;
+        it->dispatcher.set_executors("u", shares, m_now, starts);
+        m_entries.push_back(std::move(it));
+    }
+}
+
+simulation::~simulation() = default;
+
+measurement simulation::run() {
+    after(nanoseconds(0), [this] { arrive(); });
+    after(tick_period, [this] { tick(); });
+    while (!m_events.empty()) {
+        const event next = m_events.top();
+        m_events.pop();
+        m_now = next.at;
+        next.action();
+    }
+    return m_result;
+}
+
+void simulation::after(nanoseconds delay, std::function<void()> action) {
+    m_events.push({m_now + delay, m_sequence++, std::move(action)});
+}
+
+bool simulation::is_burst() const {
+    const auto passed = m_now - m_begun;
+    return m_settings.burst_load > 0 && passed >= m_settings.time_limit / 3 &&
+           passed < m_settings.time_limit * 2 / 3;
+}
+
+double simulation::load_now() const {
+    return is_burst() ? m_settings.burst_load : m_settings.load;
+}
+
+void simulation::arrive() {
+    if (m_now - m_begun >= m_settings.time_limit)
+        return;
+    submit(*m_entries[m_random() % m_entries.size()]);
+    const double ratio = std::log(double(m_settings.largest_job) / m_settings.smallest_job);
+    const double mean_tasks = ratio > 0 ? (m_settings.largest_job - m_settings.smallest_job) / ratio
+                                        : m_settings.smallest_job;
+    const double slots = double(m_settings.executors) * m_settings.slots;
+    const double gap_ms = mean_tasks * mean_task_ms / (slots * load_now());
+    const double next_ms = std::exponential_distribution<double>(1 / gap_ms)(m_random);
+    after(nanoseconds(std::llround(next_ms * 1e6)), [this] { arrive(); });
+}
+
+void simulation::submit(entry_state& home) {
+    running_job it;
+    it.ticket.id.sequence = m_sequence++;
+    it.ticket.upstream = "u";
+    it.ticket.arrived = m_now;
+    it.ticket.fleet_slots = m_settings.executors * m_settings.slots;
+    const double low = std::log(m_settings.smallest_job);
+    const double high = std::log(m_settings.largest_job);
+    const auto tasks = std::lround(std::exp(uniform(m_random, low, high)));
+    milliseconds longest{0};
+    for (long i = 0; i < tasks; i++) {
+        const auto kind = m_random() % kind_times_ms.size();
+        const milliseconds time(kind_times_ms[kind]);
+        const double error = std::pow(m_settings.declared_error, uniform(m_random, -1, 1));
+        it.times.push_back(time);
+        it.ticket.expected.emplace_back(std::max(1L, std::lround(time.count() * error)));
+        if (m_policy.tells_kinds)
+            it.ticket.kinds.push_back(dispatch::task_kind("/kind/" + std::to_string(kind)));
+        it.work += time;
+        longest = std::max(longest, time);
+    }
+    it.unfinished = it.times.size();
+    it.ideal = std::max<nanoseconds>(longest, nanoseconds(it.work) / it.ticket.fleet_slots);
+    const double over = m_settings.deadline_over_ideal;
+    const auto allowed = over > 0 ? nanoseconds(std::llround(double(it.ideal.count()) * over))
+                                  : nanoseconds(drain_time);
+    it.ticket.deadline = m_now + allowed;
+    m_result.jobs++;
+    m_result.offered_work_ms += double(it.work.count());
+
+    std::vector<dispatch::start> starts;
+    const auto id = it.ticket.id;
+    const auto ticket = it.ticket;
+    home.jobs.emplace(id, std::move(it));
+    if (!home.dispatcher.submit(ticket, m_now, starts).is_accepted) {
+        m_result.refused_jobs++;
+        home.jobs.erase(id);
+        return;
+    }
+    after(allowed, [this, &home, id] {
+        auto& due = home.jobs.at(id);
+        if (due.is_over)
+            return;
+        m_result.late_jobs++;
+        end_job(home, due, false);
+    });
+    send(home, starts);
+}
+
+void simulation::send(entry_state& home, const std::vector<dispatch::start>& starts) {
+    for (const auto& it : starts) {
+        const auto& job = home.jobs.at(it.id);
+        m_result.starts++;
+        m_result.waited_ms += double((m_now - job.ticket.arrived).count()) / 1e6;
+        after(one_way, [this, &home, it] { reach(home, it); });
+    }
+}
+
+bool simulation::is_faulty(std::size_t index, std::size_t first, std::size_t count) const {
+    return index >= first && index < first + count && m_now - m_begun >= m_settings.fault_begins;
+}
+
+void simulation::reach(entry_state& home, const dispatch::start& it) {
+    executor_state& at = *m_by_name.at(it.executor->name);
+    const std::size_t failing = m_settings.failing_executors;
+    const std::size_t slow = failing + m_settings.slow_executors;
+    const auto sent = m_now - one_way;
+    if (is_faulty(at.index, slow, m_settings.refusing_executors)) {
+        m_result.retries++;
+        after(one_way,
+              [=, this, &home] { finish(home, it, dispatch::completion::not_started, sent); });
+        return;
+    }
+    begin(at, [=, this, &home, &at] {
+        nanoseconds time = home.jobs.at(it.id).times[it.task];
+        auto how = dispatch::completion::answered;
+        if (is_faulty(at.index, 0, failing)) {
+            time = failure_time;
+            how = dispatch::completion::failed;
+        }
+        if (is_faulty(at.index, failing, m_settings.slow_executors))
+            time *= slow_factor;
+        after(time, [=, this, &home, &at] {
+            at.running--;
+            if (!at.waiting.empty()) {
+                const auto next = std::move(at.waiting.front());
+                at.waiting.pop_front();
+                begin(at, next);
+            }
+            after(one_way, [=, this, &home] { finish(home, it, how, sent); });
+        });
+    });
+}
+
+void simulation::begin(executor_state& at, std::function<void()> task) {
+    if (at.running >= at.value.slots) {
+        m_result.overfilled_starts++;
+        at.waiting.push_back(std::move(task));
+        return;
+    }
+    at.running++;
+    task();
+}
+
+void simulation::finish(entry_state& home, const dispatch::start& it, dispatch::completion how,
+                        time_point sent) {
+    auto& job = home.jobs.at(it.id);
+    std::vector<dispatch::start> starts;
+    if (how == dispatch::completion::failed && !job.is_over) {
+        m_result.failed_jobs++;
+        end_job(home, job, false);
+    }
+    const auto took = std::chrono::round<milliseconds>(m_now - sent);
+    const auto given_up = home.dispatcher.complete(it, how, took, m_now, starts);
+    if (given_up && !job.is_over) {
+        m_result.failed_jobs++;
+        end_job(home, job, false);
+    }
+    if (how == dispatch::completion::answered && --job.unfinished == 0 && !job.is_over)
+        end_job(home, job, true);
+    send(home, starts);
+}
+
+void simulation::end_job(entry_state& home, running_job& it, bool is_complete) {
+    it.is_over = true;
+    if (!is_complete) {
+        home.dispatcher.cancel("u", it.ticket.id);
+        return;
+    }
+    const nanoseconds response = m_now - it.ticket.arrived;
+    m_result.stretch.push_back(double(response.count()) / double(it.ideal.count()));
+    m_result.useful_work_ms += double(it.work.count());
+    if (is_burst())
+        m_result.burst_work_ms += double(it.work.count());
+}
+
+void simulation::tick() {
+    if (m_now - m_begun > m_settings.time_limit + drain_time)
+        return;
+    for (const auto& it : m_entries) {
+        std::vector<dispatch::start> starts;
+        it->dispatcher.tick(m_now, starts);
+        send(*it, starts);
+    }
+    after(tick_period, [this] { tick(); });
+}
+
+} // namespace savorytrail::benchmarks
