--- a/source/core/peer/forward_service.cpp
+++ b/source/core/peer/forward_service.cpp
@@ -27,6 +27,8 @@
     }
 
     void limit(common::milliseconds wait, const forward_result& at_end) {
+        if (m_is_finished)
+            return;
         m_alarm.Set(std::chrono::system_clock::now() + wait,
                     [self = shared_from_this(), at_end](bool) { self->finish(at_end); });
     }
@@ -60,9 +62,11 @@
             return reactor;
         }
         const auto call = std::make_shared<open_call>(reactor, reply);
-        call->limit(request->wait, still_running(m_handler.self()));
+        const auto wait = request->wait;
         m_handler.handle(std::move(*request),
                          [call](const forward_result& result) { call->finish(result); });
+        // Only now, so that an answer that is known already wins over a wait of zero.
+        call->limit(wait, still_running(m_handler.self()));
         return reactor;
     }
 
