--- /dev/null
+++ b/source/benchmarks/measure/main.cpp
@@ -0,0 +1,53 @@
+// savory_measure: runs scenarios on real processes over loopback and prints one JSON line for each
+// scenario and policy.
+#include <CLI/CLI.hpp>
+#include <iostream>
+#include <nlohmann/json.hpp>
+
+#include "benchmarks/measure/run.h"
+
+namespace {
+
+using namespace savorytrail::measure;
+
+constexpr int exit_ok = 0;
+constexpr int exit_unsound = 1;
+
+bool is_sound(const nlohmann::json& line) {
+    return line["answers_sound"].get<bool>() && line["double_starts"].get<int>() == 0;
+}
+
+} // namespace
+
+int main(int argc, char** argv) {
+    CLI::App app("Measures savorytrail on real processes over loopback.\n"
+                 "Exit codes: 0 all runs sound, 1 a run failed, a task was started twice or an "
+                 "answer was unsound.\nExample: savory_measure --scenario steady --seed 7");
+    std::string name;
+    std::string policy;
+    run_options options;
+    app.add_option("--scenario", name, "Only scenarios of this name");
+    app.add_option("--policy", policy, "Only this policy; otherwise standard, fifo and random");
+    app.add_option("--seed", options.seed, "Seed of arrivals and jobs");
+    app.add_option("--seconds", options.seconds, "Length of each measured span (s)");
+    app.set_version_flag("--version", SAVORY_VERSION);
+    CLI11_PARSE(app, argc, argv);
+
+    const std::vector<std::string> policies =
+        policy.empty() ? std::vector<std::string>{"standard", "fifo", "random"}
+                       : std::vector<std::string>{policy};
+    int exit_code = exit_ok;
+    for (const auto& it : all_scenarios()) {
+        if (!name.empty() && it.name != name)
+            continue;
+        for (const auto& chosen : policies) {
+            options.policy = chosen;
+            const auto line = run(it, options);
+            if (line)
+                std::cout << line->dump() << std::endl;
+            if (!line || !is_sound(*line))
+                exit_code = exit_unsound;
+        }
+    }
+    return exit_code;
+}
--- /dev/null
+++ b/source/benchmarks/measure/run.cpp
@@ -0,0 +1,142 @@
+// Starting the cluster, the load, and the collection of figures.
+#include "benchmarks/measure/run.h"
+
+#include <algorithm>
+#include <iostream>
+#include <nlohmann/json.hpp>
+
+#include "benchmarks/measure/usage.h"
+#include "stand_ins/cluster/cluster.h"
+#include "stand_ins/cluster/process.h"
+
+namespace savorytrail::measure {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::chrono::seconds callers_bound{120};
+
+std::string urls_of(const stand_ins::cluster& cluster) {
+    std::string urls;
+    for (const auto& it : cluster.entries())
+        urls += (urls.empty() ? "" : ",") + ("http://" + it.callers.to_string());
+    return urls;
+}
+
+std::vector<std::string> caller_arguments(const scenario& it, const run_options& options,
+                                          const stand_ins::cluster& cluster) {
+    std::vector<std::string> arguments = {"--entries", urls_of(cluster),
+                                          "--rate",    std::to_string(jobs_per_second(it)),
+                                          "--seconds", std::to_string(options.seconds),
+                                          "--warm-up", std::to_string(options.warm_up_seconds),
+                                          "--seed",    std::to_string(options.seed),
+                                          "--tasks",   it.offered.tasks,
+                                          "--ms",      it.offered.service_ms};
+    arguments.insert(arguments.end(), it.offered.options.begin(), it.offered.options.end());
+    return arguments;
+}
+
+bool set_faults(stand_ins::cluster& cluster, const scenario& it) {
+    constexpr std::size_t one_in = 10;
+    if (it.fault == stand_ins::executor_behaviour{})
+        return true;
+    for (std::size_t i = 0; i < cluster.executors().size(); i += one_in) {
+        if (cluster.set_executor_behaviour(i, it.fault))
+            return false;
+    }
+    return true;
+}
+
+struct snapshot {
+    std::vector<usage> entries;
+    std::map<std::string, double> messages; // by kind, over all entries
+    std::uint64_t starts = 0;
+    std::uint64_t doubles = 0; // tasks that were started more than once
+};
+
+snapshot observe(stand_ins::cluster& cluster) {
+    static const std::string s_messages = "savory_messages_total";
+    snapshot it;
+    for (std::size_t i = 0; i < cluster.entries().size(); i++) {
+        it.entries.push_back(read_usage(cluster.entry_process(i).id()));
+        for (const auto& [name, value] : read_metrics(cluster.entries()[i].callers)) {
+            if (name.starts_with(s_messages))
+                it.messages[name.substr(s_messages.size())] += value;
+        }
+    }
+    if (const auto starts = cluster.read_starts()) {
+        it.starts = starts.value().total;
+        it.doubles = static_cast<std::uint64_t>(
+            std::count_if(starts.value().tasks.begin(), starts.value().tasks.end(),
+                          [](const auto& task) { return task.second > 1; }));
+    }
+    return it;
+}
+
+json used_by_entries(const snapshot& before, const snapshot& after, double seconds) {
+    double most_cpu = 0;
+    double most_mb = 0;
+    for (std::size_t i = 0; i < after.entries.size(); i++) {
+        const double cpu = after.entries[i].cpu_seconds - before.entries[i].cpu_seconds;
+        most_cpu = std::max(most_cpu, cpu / seconds);
+        most_mb = std::max(most_mb, after.entries[i].resident_mb);
+    }
+    return {{"most_cores", most_cpu}, {"most_resident_mb", most_mb}};
+}
+
+json messages_per_task(const snapshot& before, const snapshot& after) {
+    json by_kind = json::object();
+    const auto tasks =
+        static_cast<double>(std::max<std::uint64_t>(after.starts - before.starts, 1));
+    double sum = 0;
+    for (const auto& [kind, count] : after.messages) {
+        const auto earlier = before.messages.find(kind);
+        const double n = count - (earlier == before.messages.end() ? 0 : earlier->second);
+        by_kind[kind] = n / tasks;
+        sum += n / tasks;
+    }
+    return {{"by_kind", by_kind}, {"sum", sum}};
+}
+
+} // namespace
+
+std::optional<json> run(const scenario& it, const run_options& options) {
+    auto plan = it.plan;
+    plan.settings["dispatch.policy"] = '"' + options.policy + '"';
+    stand_ins::cluster cluster(plan);
+    if (const auto ec = cluster.start()) {
+        std::cerr << "savory_measure: the cluster did not start: " << ec.message() << "\n";
+        return std::nullopt;
+    }
+    if (!set_faults(cluster, it))
+        return std::nullopt;
+
+    const auto before = observe(cluster);
+    const auto begun = std::chrono::steady_clock::now();
+    stand_ins::process callers({"stand_in_callers", caller_arguments(it, options, cluster),
+                                cluster.folder() / "callers.err"});
+    if (callers.spawn())
+        return std::nullopt;
+    const json report = json::parse(callers.read_output(), nullptr, false);
+    const auto exit_code = callers.wait_for_exit(callers_bound);
+    if (!report.is_object() || !exit_code) {
+        std::cerr << "savory_measure: the callers gave no report: " << callers.errors();
+        return std::nullopt;
+    }
+    const std::chrono::duration<double> took = std::chrono::steady_clock::now() - begun;
+    const auto after = observe(cluster);
+
+    return json{{"scenario", it.name},
+                {"deployment", it.deployment},
+                {"policy", options.policy},
+                {"seed", options.seed},
+                {"slots", slots_of(it)},
+                {"answers_sound", *exit_code == 0},
+                {"double_starts", after.doubles},
+                {"starts", after.starts - before.starts},
+                {"messages_per_task", messages_per_task(before, after)},
+                {"entries", used_by_entries(before, after, took.count())},
+                {"callers", report}};
+}
+
+} // namespace savorytrail::measure
--- /dev/null
+++ b/source/benchmarks/measure/run.h
@@ -0,0 +1,23 @@
+// One run: a scenario under one policy, on a cluster of its own.
+#pragma once
+
+#include <cstdint>
+#include <nlohmann/json_fwd.hpp>
+#include <optional>
+#include <string>
+
+#include "benchmarks/measure/scenario.h"
+
+namespace savorytrail::measure {
+
+struct run_options {
+    std::string policy = "standard";
+    std::uint64_t seed = 1;
+    unsigned seconds = 10;
+    unsigned warm_up_seconds = 3;
+};
+
+// The result line; nullopt when the cluster or the callers did not run.
+std::optional<nlohmann::json> run(const scenario& it, const run_options& options);
+
+} // namespace savorytrail::measure
--- /dev/null
+++ b/source/benchmarks/measure/usage.h
@@ -0,0 +1,23 @@
+// What a process has used, as the kernel counts it, and what its metrics page says.
+#pragma once
+
+#include <sys/types.h>
+
+#include <map>
+#include <string>
+
+#include "core/common/endpoint.h"
+
+namespace savorytrail::measure {
+
+struct usage {
+    double cpu_seconds = 0;
+    double resident_mb = 0;
+};
+
+usage read_usage(pid_t id);
+
+// The samples of a Prometheus page by name with labels.
+std::map<std::string, double> read_metrics(const common::endpoint& entry);
+
+} // namespace savorytrail::measure
--- a/source/stand_ins/cluster/process.cpp
+++ b/source/stand_ins/cluster/process.cpp
@@ -147,6 +147,17 @@
     wait_for_exit(kill_bound);
 }
 
+std::string process::read_output() const {
+    std::string text;
+    std::array<char, 4096> buf{};
+    for (;;) {
+        const auto n = read(m_output, buf.data(), buf.size());
+        if (n <= 0)
+            return text;
+        text.append(buf.data(), static_cast<std::size_t>(n));
+    }
+}
+
 std::string process::errors() const {
     std::ifstream file(m_options.error_file);
     return {std::istreambuf_iterator<char>(file), {}};
--- a/source/stand_ins/cluster/process.h
+++ b/source/stand_ins/cluster/process.h
@@ -43,6 +43,8 @@
 
     pid_t id() const { return m_id; }
     bool running() { return m_id > 0 && !wait_for_exit(std::chrono::milliseconds(0)); }
+    // What the program has written to its standard output; waits until it closes it.
+    std::string read_output() const;
     // What the program has written to its standard error so far.
     std::string errors() const;
 
