--- a/source/core/configuration/apply.cpp
+++ b/source/core/configuration/apply.cpp
@@ -32,6 +32,18 @@
     return present.last.version <= base + 1 + kept_changes;
 }
 
+bool is_final(const std::error_code& ec) {
+    return ec == common::error::not_found || ec == common::error::malformed;
+}
+
+common::result<record> read_current(platform::table& table, const retry_gate& try_again) {
+    for (;;) {
+        auto current = configuration::read_current(table);
+        if (current || is_final(current.error()) || !try_again())
+            return current;
+    }
+}
+
 class attempt_series {
 public:
     attempt_series(platform::table& table, const proposal& proposed, std::uint64_t base,
@@ -85,7 +97,7 @@
 
 common::result<apply_outcome> apply(platform::table& table, const proposal& proposed,
                                     const retry_gate& try_again) {
-    const auto current = read_current(table);
+    const auto current = read_current(table, try_again);
     if (!current && current.error() != common::error::not_found)
         return current.error();
 
--- a/source/core/configuration/apply.h
+++ b/source/core/configuration/apply.h
@@ -52,7 +52,7 @@
 
 using apply_outcome = std::variant<accepted, conflict, reused_change_id, unsettled>;
 
-// Called before the write is tried again after an error; false gives up.
+// Called before the read or the write is tried again after an error; false gives up.
 using retry_gate = std::function<bool()>;
 
 // An error means that nothing was written.
--- a/source/core/control/status.cpp
+++ b/source/core/control/status.cpp
@@ -48,11 +48,14 @@
     static const std::set<std::string> s_columns{
         "vm",           "failure_domain", "incarnation", "ready", "configuration_version",
         "queued_tasks", "running_tasks"};
+    std::string line;
     const json body = json::parse(it.body);
     for (const auto& [name, value] : body.items()) {
         if (s_columns.count(name) == 0 && !value.empty())
-            out << it.vm << ": " << name << " = " << value.dump() << "\n";
+            absl::StrAppend(&line, " ", name, "=", value.dump());
     }
+    if (!line.empty())
+        out << it.vm << ":" << line << "\n";
 }
 
 void print_text(const std::vector<entry_status>& entries, std::ostream& out) {
--- a/source/programs/savoryctl/main.cpp
+++ b/source/programs/savoryctl/main.cpp
@@ -74,6 +74,7 @@
 void add_entries(CLI::App* command, command_line& line) {
     command->add_option("--entries", line.entries, "Entries to ask, separated by commas")
         ->delimiter(',')
+        ->allow_extra_args(false) // so that a FILE may follow
         ->check(url_check);
 }
 
@@ -105,7 +106,8 @@
         add_command(line, "print-settings", "Print the settings that an entry would run with",
                     "print-settings samples/entry.toml --set callers.threads=8");
     command->add_option("FILE", line.print.path, "Settings file; without it the defaults");
-    command->add_option("--set", line.print.assignments, "KEY=VALUE that wins over the file");
+    command->add_option("--set", line.print.assignments, "KEY=VALUE that wins over the file")
+        ->allow_extra_args(false); // so that FILE may follow
     command->callback([&line] {
         line.run = [&line](control::environment&, control::console& io) {
             return control::print_settings(line.print, io);
