--- a/source/benchmarks/ways/main.cpp
+++ b/source/benchmarks/ways/main.cpp
@@ -102,6 +102,7 @@
     const int before = table.transactions();
     std::vector<outcome> parts(callers);
     std::vector<std::thread> threads;
+    threads.reserve(callers);
     for (int i = 0; i < callers; i++)
         threads.emplace_back([&, i] { parts[i] = run_caller(i, submit); });
     for (auto& it : threads)
--- a/source/unit_tests/home/home_test.cpp
+++ b/source/unit_tests/home/home_test.cpp
@@ -12,6 +12,18 @@
 using job::answer_state;
 using job::task_state;
 
+// Lets a test act in the middle of a call, wherever the home looks at the time.
+class interrupting_clock final : public common::clock {
+public:
+    common::time_point now() const override {
+        if (interrupt)
+            std::exchange(interrupt, nullptr)();
+        return std::chrono::steady_clock::now();
+    }
+
+    mutable std::function<void()> interrupt;
+};
+
 class home_rules : public testing::Test {
 protected:
     void SetUp() override { use({"u", "v"}, 2); }
@@ -42,9 +54,10 @@
         return id;
     }
 
-    submission::shared_answer final_answer(const submission::submission_id& id) {
+    // State `running` while there is none.
+    job::answer final_answer(const submission::submission_id& id) {
         const auto result = m_home.query(id, nullptr);
-        return result.outcome == request_outcome::answered ? result.answer : nullptr;
+        return result.outcome == request_outcome::answered ? *result.answer : job::answer();
     }
 
     // Unknown for each task of the submission that was sent, not_run for the others.
@@ -66,7 +79,7 @@
         return 0;
     }
 
-    common::system_clock m_clock;
+    interrupting_clock m_clock;
     common::seeded_random m_random{3};
     submission::issuer m_ids{"zilina-1", m_clock, m_random, std::chrono::minutes(10)};
     submission::ledger m_ledger{{100000, 64 << 20}};
@@ -87,16 +100,16 @@
     ASSERT_EQ(m_sent.size(), 4U);
 
     use({"v"}, 2);
-    EXPECT_EQ(final_answer(partly_started)->state, answer_state::failed);
-    EXPECT_EQ(final_answer(partly_started)->tasks, states_by_what_was_sent(partly_started, 2));
-    EXPECT_EQ(final_answer(waiting)->state, answer_state::refused);
-    EXPECT_EQ(final_answer(waiting)->why, job::reason::unknown_upstream);
+    EXPECT_EQ(final_answer(partly_started).state, answer_state::failed);
+    EXPECT_EQ(final_answer(partly_started).tasks, states_by_what_was_sent(partly_started, 2));
+    EXPECT_EQ(final_answer(waiting).state, answer_state::refused);
+    EXPECT_EQ(final_answer(waiting).why, job::reason::unknown_upstream);
     EXPECT_EQ(queued("u"), 0U);
-    EXPECT_EQ(final_answer(elsewhere), nullptr);
+    EXPECT_EQ(final_answer(elsewhere).state, answer_state::running);
 
     const auto first = m_sent.front();
     m_home.task_done(first, {submission::task_end::answered, {200, "ok"}, {}});
-    EXPECT_EQ(final_answer(all_started)->state, answer_state::complete);
+    EXPECT_EQ(final_answer(all_started).state, answer_state::complete);
     EXPECT_EQ(m_sent.size(), 4U) << "nothing new may start";
 }
 
@@ -104,7 +117,25 @@
     const auto id = submit_new("u", 1);
     use({"v"}, 2);
     m_home.task_done(m_sent.front(), {submission::task_end::not_started, {}, {}});
-    EXPECT_EQ(final_answer(id)->state, answer_state::refused);
+    EXPECT_EQ(final_answer(id).state, answer_state::refused);
+}
+
+TEST_F(home_rules, a_cancel_between_recording_and_admission_leaves_nothing_in_the_queue) {
+    submit_new("u", 2); // holds both slots
+    const auto id = m_ids.issue(1).front();
+    bool is_cancelled = false;
+    std::function<void()> cancel_once_recorded = [&] {
+        is_cancelled = m_ledger.upstream_of(id).has_value();
+        if (is_cancelled)
+            m_home.cancel(id);
+        else
+            m_clock.interrupt = cancel_once_recorded;
+    };
+    m_clock.interrupt = cancel_once_recorded;
+    submit(id, "u", 2);
+    EXPECT_TRUE(is_cancelled);
+    EXPECT_EQ(final_answer(id).state, answer_state::refused);
+    EXPECT_EQ(queued("u"), 0U);
 }
 
 TEST_F(home_rules, a_cancel_that_races_an_admission_leaves_nothing_in_the_queue) {
@@ -116,6 +147,10 @@
         for (int i = 0; i < rounds; i++) {
             while (turn.load() < i)
                 std::this_thread::yield();
+            // At another moment of the submission in each round.
+            const auto until = m_clock.now() + std::chrono::nanoseconds(100 * (i % 250));
+            while (m_clock.now() < until) {
+            }
             m_home.cancel(ids[i]);
         }
     });
@@ -125,7 +160,7 @@
     }
     canceller.join();
     for (const auto& id : ids)
-        ASSERT_EQ(final_answer(id)->state, answer_state::refused);
+        ASSERT_EQ(final_answer(id).state, answer_state::refused);
     EXPECT_EQ(queued("u"), 0U);
     EXPECT_EQ(m_sent.size(), 2U);
 }
