--- a/source/core/handover/heirs.cpp
+++ b/source/core/handover/heirs.cpp
@@ -70,7 +70,7 @@
     }
     const auto read = m_table.read_newer(row_key(gone), 0);
     if (read && read.value()) {
-        const auto successor = read_row(read.value()->value);
+        auto successor = read_row(read.value()->value);
         remember(gone, {successor, m_clock.now() + row_lifetime});
         return successor;
     }
