Loans of slots between entries; an even partition

Cause: with executors divided among entries, a job that comes to a full entry waits while its neighbour idles.

Change: lender and borrower, sans I/O. A loan lasts five seconds, is renewed while it is used and given back once it was idle for a tenth of a second; a request covers the whole backlog and names all loans held, so that a lost message is made good by the next. The lender counts a slot as used until it is given back or until the term and a task timeout are over. Own slots are filled before borrowed ones. A backlog below 80% of the slots is left to them.

--- a/source/benchmarks/dispatch_benchmark.cpp
+++ b/source/benchmarks/dispatch_benchmark.cpp
@@ -93,8 +93,17 @@
                                             {"no_admission", "no_admission"},
                                             {"earliest_deadline", "deadline"},
                                             {"standard", "standard"}};
-    return {{order, orders},   {deadlines, orders},   {healthy, ejections}, {failing, ejections},
-            {slow, ejections}, {refusing, ejections}, {burst, admissions}};
+    scenario placement = healthy;
+    placement.name = "placement_of_20_task_jobs";
+    placement.entries = 6;
+    placement.time_limit = milliseconds(300000);
+    const std::vector<policy> placements = {
+        {"random_over_all", "random", placement_mode::independent},
+        {"least_outstanding_over_all", "standard", placement_mode::independent},
+        {"partition", "standard", placement_mode::partition},
+        {"partition_with_loans", "standard", placement_mode::loans}};
+    return {{placement, placements}, {order, orders},   {deadlines, orders},   {healthy, ejections},
+            {failing, ejections},    {slow, ejections}, {refusing, ejections}, {burst, admissions}};
 }
 
 } // namespace
--- a/source/benchmarks/simulation.cpp
+++ b/source/benchmarks/simulation.cpp
@@ -13,6 +13,8 @@
 
 constexpr nanoseconds one_way = std::chrono::microseconds(500);
 constexpr milliseconds tick_period{20};
+constexpr milliseconds heartbeat_period{1000};
+constexpr milliseconds task_timeout{10000};
 constexpr milliseconds failure_time{2};
 constexpr milliseconds drain_time{60000};
 constexpr int slow_factor = 10;
@@ -42,17 +44,22 @@
 };
 
 struct simulation::entry_state {
-    entry_state(std::string vm, const std::string& queue)
-        : name(std::move(vm)), dispatcher(queue, {}) {}
+    entry_state(std::string vm, std::size_t index, const std::string& queue,
+                const loan::executor_finder& find)
+        : name(std::move(vm)), dispatcher(queue, {}), lender(dispatcher, {1, index}),
+          borrower(dispatcher, name, {1, index}, find) {}
 
     std::string name;
     dispatch::dispatcher dispatcher;
+    loan::lender lender;
+    loan::borrower borrower;
     std::map<submission::submission_id, running_job> jobs;
 };
 
 simulation::simulation(const scenario& settings, const policy& chosen)
     : m_settings(settings), m_policy(chosen), m_random(settings.seed) {
     std::vector<std::string> names;
+    manifest::upstream all;
     for (std::size_t i = 0; i < settings.entries; i++)
         names.push_back("entry-" + std::to_string(i));
     for (std::size_t i = 0; i < settings.executors; i++) {
@@ -61,16 +68,21 @@
         it->value.name = "executor-" + std::to_string(i);
         it->value.slots = settings.slots;
         m_by_name[it->value.name] = it.get();
+        all.executors.push_back(it->value);
         m_executors.push_back(std::move(it));
     }
     for (const auto& name : names) {
-        auto it = std::make_unique<entry_state>(name, chosen.queue);
+        auto it =
+            std::make_unique<entry_state>(name, m_entries.size(), chosen.queue,
+                                          [this](const std::string&, const std::string& executor) {
+                                              return std::optional(m_by_name.at(executor)->value);
+                                          });
+        const bool uses_all = chosen.mode == placement_mode::independent;
+        const auto executors =
+            uses_all ? all.executors : dispatch::owned_executors(all, "", name, names);
         std::vector<dispatch::executor_share> shares;
-        for (const auto& executor : m_executors) {
-            const bool is_own = dispatch::owner_of(executor->value.name, names) == name;
-            if (is_own || chosen.mode == placement_mode::independent)
-                shares.push_back({executor->value, executor->value.slots});
-        }
+        for (const auto& executor : executors)
+            shares.push_back({executor, executor.slots});
         std::vector<dispatch::start> starts;
         it->dispatcher.set_executors("u", shares, m_now, starts);
         m_entries.push_back(std::move(it));
@@ -82,6 +94,8 @@
 measurement simulation::run() {
     after(nanoseconds(0), [this] { arrive(); });
     after(tick_period, [this] { tick(); });
+    if (m_policy.mode == placement_mode::loans)
+        after(nanoseconds(0), [this] { beat(); });
     while (!m_events.empty()) {
         const event next = m_events.top();
         m_events.pop();
@@ -165,6 +179,7 @@
         end_job(home, due, false);
     });
     send(home, starts);
+    borrow(home);
 }
 
 void simulation::send(entry_state& home, const std::vector<dispatch::start>& starts) {
@@ -260,9 +275,54 @@
     for (const auto& it : m_entries) {
         std::vector<dispatch::start> starts;
         it->dispatcher.tick(m_now, starts);
+        it->lender.tick(m_now, starts);
         send(*it, starts);
+        borrow(*it);
     }
     after(tick_period, [this] { tick(); });
 }
 
+// Heartbeats with what each entry could lend.
+void simulation::beat() {
+    if (m_now - m_begun > m_settings.time_limit + drain_time)
+        return;
+    for (const auto& to : m_entries) {
+        std::vector<loan::offer> offers;
+        for (const auto& from : m_entries) {
+            if (from == to)
+                continue;
+            const auto idle = static_cast<std::uint32_t>(from->dispatcher.lendable("u"));
+            offers.push_back({from->name, "u", idle, true});
+            m_result.control_messages += m_now - m_begun < m_settings.time_limit ? 1 : 0;
+        }
+        after(one_way, [&to = *to, offers] { to.borrower.set_offers(offers); });
+    }
+    after(heartbeat_period, [this] { beat(); });
+}
+
+void simulation::borrow(entry_state& it) {
+    if (m_policy.mode != placement_mode::loans)
+        return;
+    for (const auto& exchange : it.borrower.decide(m_now)) {
+        m_result.control_messages += 2;
+        after(one_way, [this, &it, exchange] { deliver(it, exchange); });
+    }
+}
+
+void simulation::deliver(entry_state& from, const loan::exchange& it) {
+    for (const auto& to : m_entries) {
+        if (to->name != it.vm)
+            continue;
+        std::vector<dispatch::start> starts;
+        const auto reply = to->lender.handle(it.request, task_timeout, m_now, starts);
+        send(*to, starts);
+        after(one_way, [this, &from, it, reply] {
+            std::vector<dispatch::start> borrowed;
+            from.borrower.replied(it, reply, m_now, borrowed);
+            send(from, borrowed);
+            borrow(from);
+        });
+    }
+}
+
 } // namespace savorytrail::benchmarks
--- a/source/benchmarks/simulation.h
+++ b/source/benchmarks/simulation.h
@@ -12,6 +12,8 @@
 #include <vector>
 
 #include "core/dispatch/dispatcher.h"
+#include "core/loan/borrower.h"
+#include "core/loan/lender.h"
 
 namespace savorytrail::benchmarks {
 
@@ -23,6 +25,7 @@
 enum class placement_mode {
     partition,   // each entry uses its own executors alone
     independent, // each entry uses all executors and knows only its own load
+    loans,       // its own ones, and idle slots that it borrows from other entries
 };
 
 struct scenario {
@@ -96,6 +99,9 @@
                 time_point sent);
     void end_job(entry_state& home, running_job& it, bool is_complete);
     void tick();
+    void beat();
+    void borrow(entry_state& it);
+    void deliver(entry_state& from, const loan::exchange& it);
     bool is_burst() const;
     double load_now() const;
     bool is_faulty(std::size_t index, std::size_t first, std::size_t count) const;
--- a/source/core/dispatch/dispatcher.cpp
+++ b/source/core/dispatch/dispatcher.cpp
@@ -121,6 +121,14 @@
     return all;
 }
 
+std::size_t dispatcher::lendable(const std::string& upstream) const {
+    const auto it = find(upstream);
+    if (!it)
+        return 0;
+    const std::lock_guard lock(it->mutex);
+    return it->queue->has_backlog() ? 0 : it->queue->demand().idle_own;
+}
+
 std::vector<std::shared_ptr<dispatcher::shard>> dispatcher::all_shards() const {
     std::vector<std::shared_ptr<shard>> shards;
     const std::shared_lock lock(m_mutex);
--- a/source/core/dispatch/executor_pool.cpp
+++ b/source/core/dispatch/executor_pool.cpp
@@ -178,6 +178,7 @@
     m_idle -= idle_of(view);
     view.running = static_cast<std::uint32_t>(it.running.size());
     view.slots = it.health.allowed(it.usable());
+    view.is_borrowed = it.own == 0;
     // One that should be out but may not be, since too many are, gets one task at a time.
     if (m_ejects && it.health.wants_ejection())
         view.slots = std::min<std::uint32_t>(view.slots, 1);
--- a/source/core/dispatch/partition.h
+++ b/source/core/dispatch/partition.h
@@ -1,4 +1,5 @@
-// Division of a failure domain's executors among its live entries by rendezvous hashing. Entries
+// Division of a failure domain's executors among its live entries by rendezvous hashing with bounded
+// load: an entry gets at most its even part of the slots, rounded up to whole executors. Entries
 // that agree on who is live own disjoint sets; a short disagreement costs balance, never safety.
 #pragma once
 
@@ -9,11 +10,8 @@
 
 namespace savorytrail::dispatch {
 
-// The entry among `entries` that owns the executor; empty when there are none.
-std::string owner_of(const std::string& executor, const std::vector<std::string>& entries);
-
-// The executors that `self` owns. `entries` are the live entries of its failure domain, itself
-// included.
+// The executors of the failure domain that `self` owns. `entries` are the live entries of the
+// domain, itself included.
 std::vector<manifest::executor> owned_executors(const manifest::upstream& upstream,
                                                 const std::string& failure_domain,
                                                 const std::string& self,
--- a/source/core/dispatch/policy.h
+++ b/source/core/dispatch/policy.h
@@ -23,6 +23,7 @@
 struct executor_view {
     std::uint32_t slots = 0;
     std::uint32_t running = 0;
+    bool is_borrowed = false; // all its slots are
 
     bool is_free() const { return running < slots; }
 };
@@ -72,7 +73,8 @@
     }
 };
 
-// The executor with the smallest share of its slots in use.
+// The executor with the smallest share of its slots in use. Own ones come before borrowed ones, so
+// that loans which are no longer needed fall idle.
 struct least_loaded_placement {
     std::size_t choose(const std::vector<executor_view>& executors, std::size_t avoided) const {
         std::size_t best = executors.size();
@@ -80,13 +82,19 @@
             const auto& it = executors[i];
             if (!it.is_free() || i == avoided)
                 continue;
-            if (best == executors.size() || std::uint64_t{it.running} * executors[best].slots <
-                                                std::uint64_t{executors[best].running} * it.slots)
+            if (best == executors.size() || is_better(it, executors[best]))
                 best = i;
         }
         const bool only_avoided = best == executors.size() && avoided < executors.size();
         return only_avoided && executors[avoided].is_free() ? avoided : best;
     }
+
+private:
+    static bool is_better(const executor_view& a, const executor_view& b) {
+        if (a.is_borrowed != b.is_borrowed)
+            return b.is_borrowed;
+        return std::uint64_t{a.running} * b.slots < std::uint64_t{b.running} * a.slots;
+    }
 };
 
 // A random free executor.
--- a/source/core/dispatch/types.h
+++ b/source/core/dispatch/types.h
@@ -78,6 +78,7 @@
 struct slot_demand {
     std::string upstream;
     std::size_t queued_tasks = 0;
+    std::size_t slots = 0;                     // usable, borrowed ones included
     std::size_t idle_own = 0;                  // own slots that could be lent
     std::vector<executor_slots> idle_borrowed; // borrowed slots without a task
 
--- a/source/core/dispatch/upstream_queue.cpp
+++ b/source/core/dispatch/upstream_queue.cpp
@@ -220,7 +220,7 @@
 
 template <job_order Order, placement Placement>
 slot_demand basic_upstream_queue<Order, Placement>::demand() const {
-    return {m_name, m_queue.queued(), m_pool.idle_own(), m_pool.idle_borrowed()};
+    return {m_name, m_queue.queued(), m_pool.slots(), m_pool.idle_own(), m_pool.idle_borrowed()};
 }
 
 template <job_order Order, placement Placement>
--- /dev/null
+++ b/source/core/loan/borrower.cpp
@@ -0,0 +1,264 @@
+// Requests for slots, renewals and returns. The borrower's lock is held while the dispatcher is
+// called, never the other way round.
+#include "core/loan/borrower.h"
+
+#include <algorithm>
+#include <tuple>
+
+#include "core/loan/lender.h"
+
+namespace savorytrail::loan {
+namespace {
+
+constexpr std::uint32_t max_slots_per_request = 256;
+// A backlog of up to this part of the own and borrowed slots is left to them: its last task waits
+// for about that part of a task time, and an exchange for each small overflow costs too many
+// messages.
+constexpr std::size_t tolerated_backlog_percent = 80;
+
+} // namespace
+
+void borrower::set_offers(const std::vector<offer>& offers) {
+    const std::lock_guard lock(m_mutex);
+    for (auto& [upstream, state] : m_upstreams) {
+        for (auto& [vm, it] : state.sources)
+            it.is_offered = false;
+    }
+    std::map<std::string, std::size_t> idle;
+    for (const auto& it : offers) {
+        source& from = m_upstreams[it.upstream].sources[it.vm];
+        from.is_offered = true;
+        from.is_near = it.is_near;
+        from.idle_slots = it.idle_slots;
+        idle[it.upstream] += it.idle_slots;
+    }
+    for (auto& [upstream, state] : m_upstreams) {
+        const auto found = idle.find(upstream);
+        m_dispatcher.set_borrowable(upstream, found == idle.end() ? std::nullopt
+                                                                  : std::optional(found->second));
+        std::erase_if(state.sources, [](const auto& it) {
+            return !it.second.is_offered && !it.second.is_asked && it.second.loans.empty() &&
+                   !it.second.returns_since;
+        });
+    }
+}
+
+std::vector<exchange> borrower::decide(common::time_point now) {
+    std::vector<exchange> out;
+    const auto demands = m_dispatcher.demands();
+    const std::lock_guard lock(m_mutex);
+    for (const auto& demand : demands) {
+        const auto found = m_upstreams.find(demand.upstream);
+        if (found == m_upstreams.end())
+            continue;
+        upstream_state& it = found->second;
+        expire(demand.upstream, it, now);
+        give_back_unused(demand, it, now);
+        ask(demand, it, now, out);
+        renew(demand.upstream, it, now, out);
+    }
+    return out;
+}
+
+void borrower::replied(const exchange& sent, const loan_reply& reply, common::time_point now,
+                       std::vector<dispatch::start>& starts) {
+    const std::string& upstream = sent.request.upstream;
+    const std::lock_guard lock(m_mutex);
+    upstream_state& state = m_upstreams[upstream];
+    source& from = state.sources[sent.vm];
+    from.is_asked = false;
+    state.asked -= sent.request.wanted;
+    if (from.lender != reply.lender) {
+        drop_all(upstream, from);
+        from.lender = reply.lender;
+    }
+
+    const auto expires_at = sent.sent + reply.term;
+    for (const auto& it : sent.request.held) {
+        const auto found = from.loans.find(it.loan);
+        if (found == from.loans.end() || found->second.is_over)
+            continue;
+        const auto renewed = std::find(reply.renewed.begin(), reply.renewed.end(), it.loan);
+        if (renewed == reply.renewed.end())
+            end(upstream, found->second);
+        else
+            found->second.expires_at = expires_at;
+    }
+    std::vector<dispatch::executor_share> shares;
+    for (const auto& it : reply.granted) {
+        const auto executor = m_find(upstream, it.slots.executor);
+        if (!executor || expires_at <= now) {
+            note_return(from, now);
+            continue;
+        }
+        from.loans[it.loan] = {it.slots, expires_at, false};
+        shares.push_back({*executor, it.slots.slots});
+    }
+    from.idle_slots = reply.idle_slots;
+    if (!reply.granted.empty())
+        from.back_off = first_back_off;
+    if (sent.request.wanted > 0 && from.idle_slots == 0) {
+        from.ask_after = now + from.back_off;
+        from.back_off = std::min(from.back_off * 2, max_back_off);
+    }
+    if (!shares.empty())
+        m_dispatcher.add_borrowed(upstream, shares, now, starts);
+}
+
+void borrower::failed(const exchange& sent, common::time_point now) {
+    const std::lock_guard lock(m_mutex);
+    upstream_state& state = m_upstreams[sent.request.upstream];
+    source& from = state.sources[sent.vm];
+    from.is_asked = false;
+    // The peer may have granted or kept what this entry does not hold.
+    note_return(from, now);
+    from.idle_slots = 0;
+    from.ask_after = now + max_back_off;
+    state.asked -= sent.request.wanted;
+}
+
+std::size_t borrower::borrowed_slots() const {
+    const std::lock_guard lock(m_mutex);
+    std::size_t n = 0;
+    for (const auto& [upstream, state] : m_upstreams) {
+        for (const auto& [vm, from] : state.sources) {
+            for (const auto& [id, it] : from.loans)
+                n += it.is_over ? 0 : it.slots.slots;
+        }
+    }
+    return n;
+}
+
+exchange borrower::make_exchange(const std::string& upstream, const std::string& vm, source& from,
+                                 std::uint32_t wanted, common::time_point now) {
+    exchange it{vm, {m_self, m_incarnation, ++m_sequence, upstream, wanted, {}}, now};
+    for (const auto& [id, loan] : from.loans)
+        it.request.held.push_back({id, loan.slots.slots, !loan.is_over});
+    from.is_asked = true;
+    from.returns_since = std::nullopt;
+    return it;
+}
+
+void borrower::expire(const std::string& upstream, upstream_state& it, common::time_point now) {
+    for (auto& [vm, from] : it.sources) {
+        for (auto loan = from.loans.begin(); loan != from.loans.end();) {
+            held& of = loan->second;
+            if (of.expires_at <= now)
+                end(upstream, of);
+            const bool is_known_over = of.is_over && of.expires_at + lender::term <= now;
+            loan = is_known_over ? from.loans.erase(loan) : std::next(loan);
+        }
+    }
+}
+
+// Slots that stayed unused over a whole hold time go back.
+void borrower::give_back_unused(const dispatch::slot_demand& demand, upstream_state& it,
+                                common::time_point now) {
+    std::map<std::string, std::uint32_t> idle;
+    for (const auto& slots : demand.idle_borrowed)
+        idle[slots.executor] = slots.slots;
+    for (auto& [executor, least] : it.unused)
+        least = std::min(least, idle[executor]);
+    if (now - it.hold_began < idle_hold)
+        return;
+    std::vector<dispatch::executor_slots> unused;
+    for (const auto& [executor, least] : it.unused) {
+        if (least > 0)
+            unused.push_back({executor, least});
+    }
+    for (const auto& given : m_dispatcher.give_back(demand.upstream, unused))
+        reduce(it, given, now);
+    it.unused = std::move(idle);
+    it.hold_began = now;
+}
+
+void borrower::reduce(upstream_state& it, const dispatch::executor_slots& given,
+                      common::time_point now) {
+    std::uint32_t left = given.slots;
+    for (auto& [vm, from] : it.sources) {
+        for (auto loan = from.loans.begin(); loan != from.loans.end();) {
+            auto& slots = loan->second.slots;
+            if (slots.executor == given.executor && left > 0 && !loan->second.is_over) {
+                const auto n = std::min(left, slots.slots);
+                slots.slots -= n;
+                left -= n;
+                note_return(from, now);
+            }
+            loan = slots.slots == 0 ? from.loans.erase(loan) : std::next(loan);
+        }
+    }
+}
+
+// Asks for the whole backlog, of one peer after another until their idle slots cover it.
+void borrower::ask(const dispatch::slot_demand& demand, upstream_state& it, common::time_point now,
+                   std::vector<exchange>& out) {
+    if (demand.queued_tasks * 100 <= demand.slots * tolerated_backlog_percent)
+        return;
+    const auto queued = static_cast<std::uint32_t>(
+        std::min<std::size_t>(demand.queued_tasks, max_slots_per_request));
+    while (queued > it.asked) {
+        std::string vm;
+        source* from = best_source(it, now, vm);
+        if (from == nullptr)
+            return;
+        const std::uint32_t missing = queued - it.asked;
+        const std::uint32_t wanted =
+            from->idle_slots > 0 ? std::min(missing, from->idle_slots) : missing;
+        out.push_back(make_exchange(demand.upstream, vm, *from, wanted, now));
+        it.asked += wanted;
+    }
+}
+
+void borrower::renew(const std::string& upstream, upstream_state& it, common::time_point now,
+                     std::vector<exchange>& out) {
+    for (auto& [vm, from] : it.sources) {
+        if (from.is_asked)
+            continue;
+        const bool is_due =
+            std::any_of(from.loans.begin(), from.loans.end(), [now](const auto& loan) {
+                return !loan.second.is_over && loan.second.expires_at - now <= renew_before;
+            });
+        const bool has_returns = from.returns_since && now - *from.returns_since >= return_delay;
+        if ((is_due || has_returns) && now >= from.ask_after)
+            out.push_back(make_exchange(upstream, vm, from, 0, now));
+    }
+}
+
+// The peer to ask next: one in the same failure domain first, then the one with most idle slots.
+borrower::source* borrower::best_source(upstream_state& it, common::time_point now,
+                                        std::string& vm) {
+    source* best = nullptr;
+    for (auto& [name, from] : it.sources) {
+        if (!from.is_offered || from.is_asked || now < from.ask_after)
+            continue;
+        const auto rank = [](const source& of) {
+            return std::tuple(of.idle_slots > 0, of.is_near, of.idle_slots);
+        };
+        if (best != nullptr && rank(from) <= rank(*best))
+            continue;
+        best = &from;
+        vm = name;
+    }
+    return best;
+}
+
+void borrower::note_return(source& from, common::time_point now) {
+    if (!from.returns_since)
+        from.returns_since = now;
+}
+
+// The lender has restarted and knows nothing of its loans.
+void borrower::drop_all(const std::string& upstream, source& from) {
+    for (auto& [id, it] : from.loans)
+        end(upstream, it);
+    from.loans.clear();
+}
+
+void borrower::end(const std::string& upstream, held& it) {
+    if (it.is_over)
+        return;
+    m_dispatcher.end_borrowed(upstream, {it.slots});
+    it.is_over = true;
+}
+
+} // namespace savorytrail::loan
--- /dev/null
+++ b/source/core/loan/lender.cpp
@@ -0,0 +1,95 @@
+// Grants, renewals and returns of loans.
+#include "core/loan/lender.h"
+
+#include <algorithm>
+
+namespace savorytrail::loan {
+
+loan_reply lender::handle(const loan_request& request, common::milliseconds task_timeout,
+                          common::time_point now, std::vector<dispatch::start>& starts) {
+    loan_reply reply;
+    reply.lender = m_self;
+    reply.term = term;
+    const std::lock_guard lock(m_mutex);
+    if (!is_newest(request))
+        return reply;
+
+    const auto release_at = now + term + task_timeout;
+    settle(request, release_at, reply, now, starts);
+    if (request.wanted > 0) {
+        for (const auto& it : m_dispatcher.lend(request.upstream, request.wanted)) {
+            const std::uint64_t id = ++m_last_loan;
+            m_loans[id] = {request.borrower, request.incarnation, request.upstream, it,
+                           now + term,       release_at};
+            reply.granted.push_back({id, it});
+        }
+    }
+    reply.idle_slots = static_cast<std::uint32_t>(m_dispatcher.lendable(request.upstream));
+    return reply;
+}
+
+void lender::tick(common::time_point now, std::vector<dispatch::start>& starts) {
+    const std::lock_guard lock(m_mutex);
+    std::vector<std::uint64_t> over;
+    for (const auto& [id, it] : m_loans) {
+        if (it.release_at <= now)
+            over.push_back(id);
+    }
+    for (const auto id : over) {
+        const record it = m_loans.at(id);
+        m_loans.erase(id);
+        m_dispatcher.take_back(it.upstream, {it.slots}, now, starts);
+    }
+}
+
+std::size_t lender::lent_slots() const {
+    const std::lock_guard lock(m_mutex);
+    std::size_t n = 0;
+    for (const auto& [id, it] : m_loans)
+        n += it.slots.slots;
+    return n;
+}
+
+bool lender::is_newest(const loan_request& request) {
+    auto& newest = m_newest[request.borrower + '\n' + request.upstream];
+    if (newest.incarnation == request.incarnation && request.sequence <= newest.sequence)
+        return false;
+    newest = {request.incarnation, request.sequence};
+    return true;
+}
+
+// Brings the records of this borrower in line with what it says it holds. Loans of an earlier
+// incarnation of it and loans past their term stay until their time is over: tasks may still run.
+void lender::settle(const loan_request& request, common::time_point release_at, loan_reply& reply,
+                    common::time_point now, std::vector<dispatch::start>& starts) {
+    absl::flat_hash_map<std::uint64_t, held_loan> held;
+    for (const auto& it : request.held)
+        held[it.loan] = it;
+
+    std::vector<std::uint64_t> returned;
+    std::vector<dispatch::executor_slots> freed;
+    for (auto& [id, it] : m_loans) {
+        if (it.borrower != request.borrower || it.incarnation != request.incarnation ||
+            it.upstream != request.upstream || it.expires_at <= now)
+            continue;
+        const auto found = held.find(id);
+        const std::uint32_t kept =
+            found == held.end() ? 0 : std::min(found->second.slots, it.slots.slots);
+        if (kept < it.slots.slots)
+            freed.push_back({it.slots.executor, it.slots.slots - kept});
+        it.slots.slots = kept;
+        if (kept == 0) {
+            returned.push_back(id);
+        } else if (found->second.renews) {
+            it.expires_at = now + term;
+            it.release_at = release_at;
+            reply.renewed.push_back(id);
+        }
+    }
+    for (const auto id : returned)
+        m_loans.erase(id);
+    if (!freed.empty())
+        m_dispatcher.take_back(request.upstream, freed, now, starts);
+}
+
+} // namespace savorytrail::loan
