--- a/source/benchmarks/dispatch_benchmark.cpp
+++ b/source/benchmarks/dispatch_benchmark.cpp
@@ -69,7 +69,6 @@
 
     scenario healthy;
     healthy.name = "healthy";
-    healthy.entries = 1;
     scenario failing = healthy;
     failing.name = "one_in_ten_fails_everything";
     failing.failing_executors = healthy.executors / 10;
@@ -82,11 +81,12 @@
     refusing.name = "one_in_ten_refuses_connections";
     refusing.refusing_executors = healthy.executors / 10;
     refusing.fault_begins = milliseconds(10000);
-    const std::vector<policy> ejections = {{"no_ejection", "no_ejection"},
-                                           {"standard", "standard"}};
+    const std::vector<policy> ejections = {{"no_ejection", "no_ejection", placement_mode::loans},
+                                           {"standard", "standard", placement_mode::loans}};
 
     scenario burst = healthy;
     burst.name = "ten_fold_burst";
+    burst.entries = 1;
     burst.burst_load = 7;
     burst.deadline_over_ideal = 20;
     const std::vector<policy> admissions = {{"arrival_no_admission", "fifo_no_admission"},
@@ -95,7 +95,6 @@
                                             {"standard", "standard"}};
     scenario placement = healthy;
     placement.name = "placement_of_20_task_jobs";
-    placement.entries = 6;
     placement.time_limit = milliseconds(300000);
     const std::vector<policy> placements = {
         {"random_over_all", "random", placement_mode::independent},
--- a/source/benchmarks/simulation.cpp
+++ b/source/benchmarks/simulation.cpp
@@ -295,7 +295,7 @@
             offers.push_back({from->name, "u", idle, true});
             m_result.control_messages += m_now - m_begun < m_settings.time_limit ? 1 : 0;
         }
-        after(one_way, [&to = *to, offers] { to.borrower.set_offers(offers); });
+        after(one_way, [this, &to = *to, offers] { to.borrower.set_offers(offers, m_now); });
     }
     after(heartbeat_period, [this] { beat(); });
 }
--- a/source/core/dispatch/dispatcher.cpp
+++ b/source/core/dispatch/dispatcher.cpp
@@ -121,6 +121,14 @@
     return all;
 }
 
+bool dispatcher::owns(const std::string& upstream, const std::string& executor) const {
+    const auto it = find(upstream);
+    if (!it)
+        return false;
+    const std::lock_guard lock(it->mutex);
+    return it->queue->owns(executor);
+}
+
 std::size_t dispatcher::lendable(const std::string& upstream) const {
     const auto it = find(upstream);
     if (!it)
--- a/source/core/dispatch/executor_pool.cpp
+++ b/source/core/dispatch/executor_pool.cpp
@@ -156,6 +156,11 @@
     return n;
 }
 
+bool executor_pool::owns(const std::string& executor) const {
+    const std::size_t index = find(executor);
+    return index < m_members.size() && m_members[index].own > 0;
+}
+
 std::size_t executor_pool::ejected() const {
     return std::count_if(m_members.begin(), m_members.end(),
                          [](const member& it) { return it.health.is_out(); });
--- a/source/core/dispatch/executor_pool.h
+++ b/source/core/dispatch/executor_pool.h
@@ -52,6 +52,7 @@
     std::size_t slots() const { return m_slots; }
     std::size_t idle() const { return m_idle; }
     std::size_t idle_own() const;
+    bool owns(const std::string& executor) const;
     std::size_t running() const { return m_running; }
     std::size_t ejected() const;
 
--- a/source/core/dispatch/partition.h
+++ b/source/core/dispatch/partition.h
@@ -1,6 +1,7 @@
-// Division of a failure domain's executors among its live entries by rendezvous hashing with bounded
-// load: an entry gets at most its even part of the slots, rounded up to whole executors. Entries
-// that agree on who is live own disjoint sets; a short disagreement costs balance, never safety.
+// Division of a failure domain's executors among its live entries by rendezvous hashing with
+// bounded load: an entry gets at most its even part of the slots, rounded up to whole executors.
+// Entries that agree on who is live own disjoint sets; a short disagreement costs balance, never
+// safety.
 #pragma once
 
 #include <string>
--- a/source/core/dispatch/upstream_queue.cpp
+++ b/source/core/dispatch/upstream_queue.cpp
@@ -49,6 +49,7 @@
     void set_borrowable(std::optional<std::size_t> slots) override { m_borrowable = slots; }
     slot_demand demand() const override;
     bool has_backlog() const override { return !m_queue.is_empty(); }
+    bool owns(const std::string& executor) const override { return m_pool.owns(executor); }
 
 private:
     static std::uint64_t kind_of(const ticket& job, std::uint32_t task) {
--- a/source/core/dispatch/upstream_queue.h
+++ b/source/core/dispatch/upstream_queue.h
@@ -47,6 +47,7 @@
     virtual void set_borrowable(std::optional<std::size_t> slots) = 0;
     virtual slot_demand demand() const = 0;
     virtual bool has_backlog() const = 0;
+    virtual bool owns(const std::string& executor) const = 0;
 
 protected:
     upstream_queue() = default;
--- a/source/core/loan/borrower.cpp
+++ b/source/core/loan/borrower.cpp
@@ -18,19 +18,22 @@
 
 } // namespace
 
-void borrower::set_offers(const std::vector<offer>& offers) {
+void borrower::set_offers(const std::vector<offer>& offers, common::time_point now) {
     const std::lock_guard lock(m_mutex);
     for (auto& [upstream, state] : m_upstreams) {
-        for (auto& [vm, it] : state.sources)
+        for (auto& [vm, it] : state.sources) {
             it.is_offered = false;
+            end_unfound(upstream, it, now);
+        }
     }
     std::map<std::string, std::size_t> idle;
     for (const auto& it : offers) {
         source& from = m_upstreams[it.upstream].sources[it.vm];
         from.is_offered = true;
         from.is_near = it.is_near;
-        from.idle_slots = it.idle_slots;
-        idle[it.upstream] += it.idle_slots;
+        from.idle_slots = it.idle_slots.value_or(from.idle_slots);
+        // A peer that told nothing may have one: only a job that waits makes this entry ask.
+        idle[it.upstream] += it.idle_slots.value_or(std::max(from.idle_slots, 1U));
     }
     for (auto& [upstream, state] : m_upstreams) {
         const auto found = idle.find(upstream);
@@ -254,6 +257,15 @@
     from.loans.clear();
 }
 
+void borrower::end_unfound(const std::string& upstream, source& from, common::time_point now) {
+    for (auto& [id, it] : from.loans) {
+        if (it.is_over || m_find(upstream, it.slots.executor))
+            continue;
+        end(upstream, it);
+        note_return(from, now);
+    }
+}
+
 void borrower::end(const std::string& upstream, held& it) {
     if (it.is_over)
         return;
--- a/source/core/loan/borrower.h
+++ b/source/core/loan/borrower.h
@@ -42,8 +42,8 @@
     borrower& operator=(const borrower&) = delete;
 
     // What all reachable peers offer; replaces what was known. Peers that are not named are not
-    // asked.
-    void set_offers(const std::vector<offer>& offers);
+    // asked. Loans on executors that are no longer found end.
+    void set_offers(const std::vector<offer>& offers, common::time_point now);
 
     // Ends loans that are over and says which requests to send now. Each is answered by replied()
     // or failed(). To be called when a backlog arises and every few tens of milliseconds.
@@ -96,6 +96,7 @@
     void renew(const std::string& upstream, upstream_state& it, common::time_point now,
                std::vector<exchange>& out);
     source* best_source(upstream_state& it, common::time_point now, std::string& vm);
+    void end_unfound(const std::string& upstream, source& from, common::time_point now);
     void drop_all(const std::string& upstream, source& from);
     void end(const std::string& upstream, held& it);
 
--- a/source/core/loan/lender.cpp
+++ b/source/core/loan/lender.cpp
@@ -80,7 +80,7 @@
         it.slots.slots = kept;
         if (kept == 0) {
             returned.push_back(id);
-        } else if (found->second.renews) {
+        } else if (found->second.renews && m_dispatcher.owns(it.upstream, it.slots.executor)) {
             it.expires_at = now + term;
             it.release_at = release_at;
             reply.renewed.push_back(id);
--- a/source/core/loan/types.h
+++ b/source/core/loan/types.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -12,12 +13,12 @@
 
 namespace savorytrail::loan {
 
-// Slots that a peer says are idle, from its heartbeats.
+// Slots that a peer could lend.
 struct offer {
     std::string vm;
     std::string upstream;
-    std::uint32_t idle_slots = 0;
-    bool is_near = false; // in this entry's own failure domain
+    std::optional<std::uint32_t> idle_slots; // from its heartbeat; nullopt when it told none
+    bool is_near = false;                    // in this entry's own failure domain
 
     bool operator==(const offer&) const = default;
 };
--- a/source/unit_tests/dispatch/partition_test.cpp
+++ b/source/unit_tests/dispatch/partition_test.cpp
@@ -23,6 +23,7 @@
         upstream.executors.push_back({"e" + std::to_string(i), "here", "vm", {}, it.slots, 60});
     upstream.executors.push_back({"far", "elsewhere", "vm", {}, 8, 60});
     std::vector<std::string> entries;
+    entries.reserve(it.entries);
     for (int i = 0; i < it.entries; i++)
         entries.push_back("entry-" + std::to_string(i));
 
--- a/source/unit_tests/loan/loan_test.cpp
+++ b/source/unit_tests/loan/loan_test.cpp
@@ -19,7 +19,7 @@
         manifest::executor it;
         it.name = "e";
         m_lending.set_executors("u", {{it, slots}}, m_now, m_starts);
-        m_borrower->set_offers({{"lender", "u", slots, true}});
+        m_borrower->set_offers({{"lender", "u", slots, true}}, m_now);
     }
 
     std::unique_ptr<borrower> make_borrower(std::uint64_t incarnation) {
@@ -185,7 +185,7 @@
     submit(m_borrowing, 8);
     exchange_messages();
     m_borrower = make_borrower(2);
-    m_borrower->set_offers({{"lender", "u", slots, true}});
+    m_borrower->set_offers({{"lender", "u", slots, true}}, m_now);
     submit(m_borrowing, 10);
     exchange_messages();
     EXPECT_EQ(m_lender->lent_slots(), slots);
@@ -208,8 +208,8 @@
     borrower it(dispatcher, "b", {1, 1}, [](const std::string&, const std::string&) {
         return std::optional<manifest::executor>();
     });
-    it.set_offers({{"far", "u", 100, false}, {"near", "u", 5, true}, {"full", "u", 0, true}});
     const common::time_point now{std::chrono::hours(1)};
+    it.set_offers({{"far", "u", 100, false}, {"near", "u", 5, true}, {"full", "u", 0, true}}, now);
     std::vector<dispatch::start> starts;
     dispatch::ticket job;
     job.upstream = "u";
