Entry: loans and quota shares in the process

Change: the entry serves and asks for loans, and divides team quotas evenly among the live entries until heartbeats carry demand. Peers are offered without idle slots: how many they have is learned from their replies.

--- a/source/core/entry/entry.cpp
+++ b/source/core/entry/entry.cpp
@@ -65,12 +65,19 @@
       m_home(m_ids, m_ledger, m_dispatcher, m_clock, {},
              [this](home::outgoing_task task) { m_requester.send(std::move(task)); }),
       m_platform(make_platform_options(settings)),
-      m_peers(m_channels, ms(settings.peers().call_timeout_ms())), m_heirs(m_platform, m_clock),
+      m_peers(m_channels, ms(settings.peers().call_timeout_ms())),
+      m_loans(m_dispatcher, m_channels, m_clock,
+              {settings.node().name(), m_ids.self(), ms(settings.peers().call_timeout_ms())},
+              {[this](std::vector<dispatch::start> starts) { m_home.begin(std::move(starts)); },
+               [this](const std::string& vm) { return address_of(vm); },
+               [this](const std::string& vm) { return m_directory.takes_new_work(vm); }}),
+      m_quota_shares(settings.node().name()), m_heirs(m_platform, m_clock),
       m_inherited(m_clock, {settings.submissions().max_kept_bytes()}),
       m_handover(m_channels, ms(settings.peers().call_timeout_ms())),
       m_home_handler(m_home, m_ids, m_inherited),
       m_forward_service(peer::make_forward_service(m_home_handler)),
       m_handover_service(handover::make_service(m_inherited, m_heirs, m_ids.self())),
+      m_loan_service(m_loans.make_service()),
       m_router(settings.node().name(), m_home_handler, m_peers, m_directory, m_heirs),
       m_claimer(m_platform, m_clock, {}),
       m_keyed(m_ids, m_claimer, m_router, claim_calls * ms(settings.platform().call_timeout_ms())),
@@ -84,17 +91,20 @@
         m_follower.join();
     if (m_ticker.joinable())
         m_ticker.join();
+    m_loans.stop();
     m_requester.shut_down();
 }
 
 std::error_code entry::start() {
-    if (const auto ec = m_peer_server.start(endpoint_of(m_settings.peers().listen()),
-                                            {m_forward_service.get(), m_handover_service.get()}))
+    if (const auto ec = m_peer_server.start(
+            endpoint_of(m_settings.peers().listen()),
+            {m_forward_service.get(), m_handover_service.get(), m_loan_service.get()}))
         return ec;
     if (const auto ec = m_front.start(endpoint_of(m_settings.callers().listen())))
         return ec;
     m_follower = std::thread([this] { follow_platform(); });
     m_ticker = std::thread([this] { run_ticks(); });
+    m_loans.start();
     log_line(severity::info, "entry_started")
         .field("incarnation", submission::to_string(m_ids.self()))
         .field("callers", m_settings.callers().listen())
@@ -146,6 +156,8 @@
         read_configuration();
         read_live_list();
         refresh_shares();
+        refresh_offers();
+        refresh_quotas();
         while (!m_threads_stop && m_clock.now() - begun < period)
             std::this_thread::sleep_for(drain_step);
     }
@@ -158,7 +170,9 @@
     if (!m_configuration.offer(*newer.value()))
         return;
     const auto current = m_configuration.current();
-    m_home.apply(std::shared_ptr<const manifest::manifest>(current, &current->value));
+    const std::shared_ptr<const manifest::manifest> value(current, &current->value);
+    m_home.apply(value);
+    m_loans.apply(value);
     log_line(severity::info, "configuration_in_force")
         .field("version", static_cast<std::int64_t>(current->version));
 }
@@ -192,6 +206,39 @@
     m_shares = std::move(shares);
 }
 
+// All live peers may be asked for slots. How many they have idle is known from their replies.
+void entry::refresh_offers() {
+    const auto current = m_configuration.current();
+    if (!current)
+        return;
+    std::vector<loan::offer> offers;
+    for (const auto& peer : m_directory.live_entries()) {
+        if (peer.name == m_settings.node().name())
+            continue;
+        const bool is_near = peer.failure_domain == m_settings.node().failure_domain();
+        for (const auto& it : current->value.upstreams)
+            offers.push_back({peer.name, it.name, std::nullopt, is_near});
+    }
+    m_loans.set_offers(offers);
+}
+
+// Without word from the peers their shares stay reserved, and this entry uses an even one.
+void entry::refresh_quotas() {
+    const auto current = m_configuration.current();
+    if (!current)
+        return;
+    std::vector<std::string> names;
+    for (const auto& it : m_directory.live_entries())
+        names.push_back(it.name);
+    m_quota_shares.set_entries(names);
+    m_quota_shares.refresh(current->value.teams, m_home.quota(), m_clock.now());
+}
+
+std::optional<common::endpoint> entry::address_of(const std::string& vm) const {
+    const auto found = m_directory.find(vm);
+    return found ? found->address : std::nullopt;
+}
+
 void entry::run_ticks() {
     while (!m_threads_stop) {
         m_home.tick();
--- a/source/core/entry/entry.h
+++ b/source/core/entry/entry.h
@@ -21,12 +21,14 @@
 #include "core/handover/heirs.h"
 #include "core/handover/inheritance.h"
 #include "core/home/home.h"
+#include "core/loan/agent.h"
 #include "core/membership/directory.h"
 #include "core/peer/channels.h"
 #include "core/peer/client.h"
 #include "core/peer/forward_service.h"
 #include "core/peer/server.h"
 #include "core/platform/client.h"
+#include "core/quota/share_book.h"
 #include "core/routing/keyed_router.h"
 #include "core/routing/router.h"
 #include "core/submission/issuer.h"
@@ -55,8 +57,11 @@
     void read_configuration();
     void read_live_list();
     void refresh_shares();
+    void refresh_offers();
+    void refresh_quotas();
     void hand_over_submissions();
     void run_ticks();
+    std::optional<common::endpoint> address_of(const std::string& vm) const;
     bool is_ready() const;
     std::string status_json() const;
     std::string metrics_text() const;
@@ -74,12 +79,15 @@
     membership::directory m_directory;
     peer::channels m_channels;
     peer::client m_peers;
+    loan::agent m_loans;
+    quota::share_book m_quota_shares;
     handover::heirs m_heirs;
     handover::inheritance m_inherited;
     handover::client m_handover;
     routing::home_handler m_home_handler;
     std::unique_ptr<grpc::Service> m_forward_service;
     std::unique_ptr<grpc::Service> m_handover_service;
+    std::unique_ptr<grpc::Service> m_loan_service;
     peer::server m_peer_server;
     routing::router m_router;
     claim::claimer m_claimer;
--- a/source/core/home/home.h
+++ b/source/core/home/home.h
@@ -76,6 +76,9 @@
     void set_executors(const std::string& upstream,
                        const std::vector<dispatch::executor_share>& shares);
 
+    // Sends starts that a call to the dispatcher from outside the home has brought.
+    void begin(std::vector<dispatch::start> starts) { send(std::move(starts)); }
+
     // The teams' limits at this entry; its shares are set from outside.
     quota::limiter& quota() { return m_quota; }
 
