--- a/source/core/dispatch/executor_pool.cpp
+++ b/source/core/dispatch/executor_pool.cpp
@@ -156,6 +156,11 @@
     return n;
 }
 
+bool executor_pool::owns(const std::string& executor) const {
+    const std::size_t index = find(executor);
+    return index < m_members.size() && m_members[index].own > 0;
+}
+
 std::size_t executor_pool::ejected() const {
     return std::count_if(m_members.begin(), m_members.end(),
                          [](const member& it) { return it.health.is_out(); });
@@ -178,6 +183,7 @@
     m_idle -= idle_of(view);
     view.running = static_cast<std::uint32_t>(it.running.size());
     view.slots = it.health.allowed(it.usable());
+    view.is_borrowed = it.own == 0;
     // One that should be out but may not be, since too many are, gets one task at a time.
     if (m_ejects && it.health.wants_ejection())
         view.slots = std::min<std::uint32_t>(view.slots, 1);
--- a/source/core/dispatch/upstream_queue.cpp
+++ b/source/core/dispatch/upstream_queue.cpp
@@ -49,6 +49,7 @@
     void set_borrowable(std::optional<std::size_t> slots) override { m_borrowable = slots; }
     slot_demand demand() const override;
     bool has_backlog() const override { return !m_queue.is_empty(); }
+    bool owns(const std::string& executor) const override { return m_pool.owns(executor); }
 
 private:
     static std::uint64_t kind_of(const ticket& job, std::uint32_t task) {
@@ -220,7 +221,7 @@
 
 template <job_order Order, placement Placement>
 slot_demand basic_upstream_queue<Order, Placement>::demand() const {
-    return {m_name, m_queue.queued(), m_pool.idle_own(), m_pool.idle_borrowed()};
+    return {m_name, m_queue.queued(), m_pool.slots(), m_pool.idle_own(), m_pool.idle_borrowed()};
 }
 
 template <job_order Order, placement Placement>
