--- /dev/null
+++ b/source/core/story/book.h
@@ -0,0 +1,77 @@
+// What happened to the submissions of one home, for operators. Memory is bounded: the oldest
+// submissions are forgotten first, and each keeps its first events and its final answer. Bodies are
+// never part of an event.
+#pragma once
+
+#include <array>
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "core/common/clock.h"
+#include "core/submission/submission_id.h"
+
+namespace savorytrail::story {
+
+struct event {
+    std::chrono::milliseconds at{0}; // since the Unix epoch
+    std::string name;
+    std::string detail;
+
+    bool operator==(const event&) const = default;
+};
+
+struct story {
+    std::vector<event> events;
+    std::size_t dropped = 0; // events that the limit left out, before the final answer
+
+    bool operator==(const story&) const = default;
+};
+
+struct book_limits {
+    std::size_t max_submissions = 2000;
+    std::size_t max_events = 64; // of one submission, without its final answer
+
+    bool operator==(const book_limits&) const = default;
+};
+
+class book {
+public:
+    // `wall_now` is the wall time, since the Unix epoch, at the clock's present.
+    book(const common::clock& clock, std::chrono::milliseconds wall_now, book_limits limits);
+    book(const book&) = delete;
+    book& operator=(const book&) = delete;
+
+    void add(const submission::submission_id& id, std::string_view name, std::string detail);
+    // As add(), and kept whatever the number of events before.
+    void add_final(const submission::submission_id& id, std::string_view name, std::string detail);
+
+    std::optional<story> find(const submission::submission_id& id) const;
+
+private:
+    struct shard {
+        mutable std::mutex mutex;
+        absl::flat_hash_map<submission::submission_id, story> stories; // guarded by mutex
+        std::deque<submission::submission_id> order; // of first events; one for each story
+    };
+
+    static constexpr std::size_t shard_count = 8;
+
+    shard& shard_of(const submission::submission_id& id);
+    story& entry_of(shard& home, const submission::submission_id& id);
+    event make_event(std::string_view name, std::string detail) const;
+
+    const common::clock& m_clock;
+    const common::time_point m_begun;
+    const std::chrono::milliseconds m_wall_begun;
+    const std::size_t m_max_stories_of_shard;
+    const std::size_t m_max_events;
+    std::array<shard, shard_count> m_shards;
+};
+
+} // namespace savorytrail::story
--- /dev/null
+++ b/source/core/story/story_json.h
@@ -0,0 +1,14 @@
+// The JSON form of a story (docs/API.md).
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include "core/story/book.h"
+
+namespace savorytrail::story {
+
+// `home` is the name of the VM that keeps the story.
+std::string to_json(const story& value, std::string_view submission_id, std::string_view home);
+
+} // namespace savorytrail::story
--- /dev/null
+++ b/source/core/telemetry/flood_gate.cpp
@@ -0,0 +1,38 @@
+// One window of a second for each event name.
+#include "core/telemetry/flood_gate.h"
+
+namespace savorytrail::telemetry {
+namespace {
+
+constexpr std::chrono::seconds window_length{1};
+
+} // namespace
+
+flood_verdict flood_gate::pass(std::string_view event) {
+    const auto now = m_clock.now();
+    const std::lock_guard lock(m_mutex);
+    window& it = m_windows[std::string(event)];
+    if (now - it.begun >= window_length) {
+        it.begun = now;
+        it.written = 0;
+    }
+    if (it.written >= m_lines_per_second) {
+        it.suppressed++;
+        return {false, 0};
+    }
+    it.written++;
+    return {true, std::exchange(it.suppressed, 0)};
+}
+
+std::vector<std::pair<std::string, std::uint64_t>> flood_gate::take_suppressed() {
+    const auto now = m_clock.now();
+    std::vector<std::pair<std::string, std::uint64_t>> result;
+    const std::lock_guard lock(m_mutex);
+    for (auto& [event, it] : m_windows) {
+        if (it.suppressed > 0 && now - it.begun >= window_length)
+            result.emplace_back(event, std::exchange(it.suppressed, 0));
+    }
+    return result;
+}
+
+} // namespace savorytrail::telemetry
--- /dev/null
+++ b/source/core/telemetry/flood_gate.h
@@ -0,0 +1,45 @@
+// Limits how many log lines of one event are written in a second.
+#pragma once
+
+#include <cstdint>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "core/common/clock.h"
+
+namespace savorytrail::telemetry {
+
+struct flood_verdict {
+    bool is_written = true;
+    std::uint64_t suppressed = 0; // lines of this event held back since the last that was written
+
+    bool operator==(const flood_verdict&) const = default;
+};
+
+class flood_gate {
+public:
+    flood_gate(const common::clock& clock, std::uint32_t lines_per_second)
+        : m_clock(clock), m_lines_per_second(lines_per_second) {}
+
+    flood_verdict pass(std::string_view event);
+    // Events whose window is over, with the lines held back that no verdict has reported.
+    std::vector<std::pair<std::string, std::uint64_t>> take_suppressed();
+
+private:
+    struct window {
+        common::time_point begun;
+        std::uint32_t written = 0;
+        std::uint64_t suppressed = 0;
+    };
+
+    const common::clock& m_clock;
+    const std::uint32_t m_lines_per_second;
+    std::mutex m_mutex;
+    absl::flat_hash_map<std::string, window> m_windows; // guarded by m_mutex; one for each event
+};
+
+} // namespace savorytrail::telemetry
--- a/source/core/telemetry/log.cpp
+++ b/source/core/telemetry/log.cpp
@@ -3,6 +3,9 @@
 
 #include <glog/logging.h>
 
+#include "core/common/clock.h"
+#include "core/telemetry/flood_gate.h"
+
 namespace savorytrail::telemetry {
 namespace {
 
@@ -11,6 +14,33 @@
     return s_fields;
 }
 
+constexpr std::uint32_t lines_per_second = 20; // of one event
+
+flood_gate& gate() {
+    static const common::system_clock s_clock;
+    static flood_gate s_gate(s_clock, lines_per_second);
+    return s_gate;
+}
+
+void write(severity level, const std::string& text) {
+    switch (level) {
+    case severity::info:
+        LOG(INFO) << text;
+        break;
+    case severity::warning:
+        LOG(WARNING) << text;
+        break;
+    case severity::error:
+        LOG(ERROR) << text;
+        break;
+    }
+}
+
+void write_suppressed(const std::string& event, std::uint64_t lines) {
+    write(severity::warning, "event=lines_suppressed" + common_fields() + " of=" + event +
+                                 " lines=" + std::to_string(lines));
+}
+
 bool needs_quotes(std::string_view value) {
     return value.empty() || value.find_first_of(" =\"\\\n\r\t") != std::string_view::npos;
 }
@@ -44,21 +74,21 @@
     common_fields() = " node=" + std::string(node) + " domain=" + std::string(failure_domain);
 }
 
+void report_suppressed_lines() {
+    for (const auto& [event, lines] : gate().take_suppressed())
+        write_suppressed(event, lines);
+}
+
 log_line::log_line(severity level, std::string_view event)
-    : m_level(level), m_text("event=" + std::string(event) + common_fields()) {}
+    : m_level(level), m_event(event), m_text("event=" + m_event + common_fields()) {}
 
 log_line::~log_line() {
-    switch (m_level) {
-    case severity::info:
-        LOG(INFO) << m_text;
-        break;
-    case severity::warning:
-        LOG(WARNING) << m_text;
-        break;
-    case severity::error:
-        LOG(ERROR) << m_text;
-        break;
-    }
+    const flood_verdict verdict = gate().pass(m_event);
+    if (!verdict.is_written)
+        return;
+    if (verdict.suppressed > 0)
+        write_suppressed(m_event, verdict.suppressed);
+    write(m_level, m_text);
 }
 
 log_line& log_line::field(std::string_view key, std::string_view value) {
--- a/source/core/telemetry/log.h
+++ b/source/core/telemetry/log.h
@@ -14,7 +14,11 @@
 void start_log(std::string_view program, std::string_view node, std::string_view failure_domain,
                severity least);
 
-// One line, written when the object is destroyed:
+// Writes how many lines were held back of events that went quiet. Called now and then.
+void report_suppressed_lines();
+
+// One line, written when the object is destroyed unless too many of its event were written within
+// the second; the next line of the event is then preceded by one that says how many are missing:
 //   log_line(severity::info, "job_refused").field("id", id).field("reason", why);
 class log_line {
 public:
@@ -28,6 +32,7 @@
 
 private:
     const severity m_level;
+    const std::string m_event;
     std::string m_text;
 };
 
