--- a/source/core/home/home.cpp
+++ b/source/core/home/home.cpp
@@ -65,19 +65,38 @@
     const auto body = std::make_shared<const job::job>(std::move(job));
     const auto opened = m_ledger.open(id, std::move(digest), body, m_ids.expiry(id), m_clock.now(),
                                       std::move(listener));
-    if (opened.outcome != submission::open_outcome::opened)
-        return closed_or_known(opened, task_count);
+    if (opened.outcome == submission::open_outcome::already_known)
+        m_observer->resubmitted(id);
+    if (opened.outcome != submission::open_outcome::opened) {
+        auto known = closed_or_known(opened, task_count);
+        if (opened.outcome == submission::open_outcome::memory_full)
+            m_observer->not_recorded(id, *known.answer);
+        return known;
+    }
+    observe(id, *body);
 
     std::vector<dispatch::start> starts;
     const auto verdict = admit(id, body, starts);
     if (!verdict.is_accepted)
         m_ledger.give_up(id, verdict.why, verdict.detail, verdict.retry_after);
-    else if (!m_ledger.upstream_of(id))
+    else
+        m_observer->admitted(id);
+    if (verdict.is_accepted && !m_ledger.upstream_of(id))
         m_dispatcher.cancel(body->upstream, id); // closed by another thread during the admission
     send(std::move(starts));
     return {request_outcome::waiting, nullptr};
 }
 
+void home::observe(const submission::submission_id& id, const job::job& body) {
+    m_observer->opened(id, body);
+    const auto known = m_ledger.listen(id, [this, id](const submission::shared_answer& answer) {
+        m_observer->answered(id, *answer);
+    });
+    // Another thread may have closed it already.
+    if (known && *known)
+        m_observer->answered(id, **known);
+}
+
 request_result home::query(const submission::submission_id& id,
                            submission::answer_listener listener) {
     if (!m_ids.is_genuine(id))
@@ -137,6 +156,7 @@
         return dispatch::completion::unknown;
     };
     m_in_flight--;
+    m_observer->task_ended(task, outcome);
     const bool ends_job =
         outcome.end == submission::task_end::failed || outcome.end == submission::task_end::unknown;
     // The ledger comes first: a task that goes back to the queue must be startable again before the
@@ -236,7 +256,10 @@
             continue;
         }
         m_in_flight++;
-        m_sink({it, std::move(body), upstream->task_timeout, upstream->not_accepted_status});
+        const outgoing_task task{it, std::move(body), upstream->task_timeout,
+                                 upstream->not_accepted_status};
+        m_observer->task_sent(task);
+        m_sink(task);
     }
 }
 
--- a/source/core/home/home.h
+++ b/source/core/home/home.h
@@ -13,6 +13,7 @@
 #include "core/common/clock.h"
 #include "core/dispatch/dispatcher.h"
 #include "core/home/deadline_queue.h"
+#include "core/home/observer.h"
 #include "core/job/job.h"
 #include "core/manifest/manifest.h"
 #include "core/submission/issuer.h"
@@ -58,6 +59,8 @@
 public:
     home(submission::issuer& ids, submission::ledger& ledger, dispatch::dispatcher& dispatcher,
          const common::clock& clock, home_limits limits, task_sink sink);
+    // Called before the home is used by other threads. The observer outlives the home.
+    void set_observer(observer& to) { m_observer = &to; }
     home(const home&) = delete;
     home& operator=(const home&) = delete;
 
@@ -88,6 +91,8 @@
     void tick();
 
 private:
+    // Tells the observer of a submission that was opened, and later of its final answer.
+    void observe(const submission::submission_id& id, const job::job& body);
     request_result closed_or_known(const submission::open_result& opened, std::size_t tasks) const;
     dispatch::verdict admit(const submission::submission_id& id, const submission::shared_job& job,
                             std::vector<dispatch::start>& starts);
@@ -101,6 +106,8 @@
     const common::clock& m_clock;
     const home_limits m_limits;
     const task_sink m_sink;
+    observer m_no_observer;
+    observer* m_observer = &m_no_observer;
     deadline_queue m_deadlines;
     std::atomic<bool> m_is_stopping{false};
     std::atomic<std::size_t> m_in_flight{0};
