Entry: metrics and stories of every submission; GET /v1/jobs/{id}/story at any entry

The story is kept at the home and asked for through the forwarding call as a further kind of request. An heir keeps answers, not stories. operations_test checks with two real entries that each submission is counted once and that both entries tell the same story; it passes.

--- a/source/core/entry/entry.cpp
+++ b/source/core/entry/entry.cpp
@@ -7,9 +7,11 @@
 
 #include "absl/strings/str_cat.h"
 #include "core/configuration/record.h"
+#include "core/entry/gauges.h"
 #include "core/entry/shares.h"
 #include "core/handover/hand_over.h"
 #include "core/handover/service.h"
+#include "core/story/story_json.h"
 #include "core/telemetry/log.h"
 
 namespace savorytrail::entry {
@@ -44,6 +46,11 @@
     return limits;
 }
 
+common::milliseconds wall_now() {
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<common::milliseconds>(now);
+}
+
 platform::client_options make_platform_options(const schema::entry_settings& settings) {
     return {common::parse_http_url(settings.platform().url()).value(),
             ms(settings.platform().call_timeout_ms()), settings.node().name()};
@@ -56,6 +63,9 @@
       m_ids(settings.node().name(), m_clock, m_random, ms(settings.submissions().id_lifetime_ms())),
       m_ledger({settings.submissions().max_remembered(), settings.submissions().max_kept_bytes()}),
       m_dispatcher(settings.dispatch().policy(), {settings.dispatch().max_queued_tasks()}),
+      m_stories(m_clock, wall_now(),
+                {settings.story().max_submissions(), settings.story().max_events()}),
+      m_watcher(m_clock, m_metrics, m_stories),
       m_requester(
           m_clock,
           {settings.dispatch().upstream_threads(), ms(settings.dispatch().connect_timeout_ms())},
@@ -65,18 +75,27 @@
       m_home(m_ids, m_ledger, m_dispatcher, m_clock, {},
              [this](home::outgoing_task task) { m_requester.send(std::move(task)); }),
       m_platform(make_platform_options(settings)),
-      m_peers(m_channels, ms(settings.peers().call_timeout_ms())), m_heirs(m_platform, m_clock),
-      m_inherited(m_clock, {settings.submissions().max_kept_bytes()}),
+      m_peers(m_channels, ms(settings.peers().call_timeout_ms()),
+              [this] { m_metrics.count_message("forward"); }),
+      m_heirs(m_platform, m_clock), m_inherited(m_clock, {settings.submissions().max_kept_bytes()}),
       m_handover(m_channels, ms(settings.peers().call_timeout_ms())),
-      m_home_handler(m_home, m_ids, m_inherited),
+      m_home_handler(m_home, m_ids, m_inherited,
+                     {[this](const auto& id, const auto& at) { m_watcher.came_in(id, at); },
+                      [this](const auto& id) { return story_json(id); }}),
       m_forward_service(peer::make_forward_service(m_home_handler)),
       m_handover_service(handover::make_service(m_inherited, m_heirs, m_ids.self())),
-      m_router(settings.node().name(), m_home_handler, m_peers, m_directory, m_heirs),
+      m_router(settings.node().name(), m_home_handler, m_peers, m_directory, m_heirs,
+               {[this] { m_metrics.count_forwarded(); },
+                [this](const job::answer& it) {
+                    m_metrics.count_answer(job::to_string(it.state), job::to_string(it.why));
+                }}),
       m_claimer(m_platform, m_clock, {}),
       m_keyed(m_ids, m_claimer, m_router, claim_calls * ms(settings.platform().call_timeout_ms())),
       m_front(make_front_limits(settings), m_ids, m_router, m_keyed,
               {[this] { return is_ready(); }, [this] { return status_json(); },
-               [this] { return metrics_text(); }}) {}
+               [this] { return metrics_text(); }}) {
+    m_home.set_observer(m_watcher);
+}
 
 entry::~entry() {
     m_threads_stop = true;
@@ -198,6 +217,7 @@
         for (const auto& it : m_inherited.forget_expired())
             m_claimer.delete_after(m_clock.now(), it);
         m_heirs.forget_expired();
+        telemetry::report_suppressed_lines();
         std::this_thread::sleep_for(tick_period);
     }
 }
@@ -231,19 +251,18 @@
 }
 
 std::string entry::metrics_text() const {
-    const auto remembered = m_ledger.size();
-    std::string text;
-    const auto add = [&text](std::string_view name, std::string_view help, std::size_t value) {
-        text += "# HELP " + std::string(name) + " " + std::string(help) + "\n# TYPE " +
-                std::string(name) + " gauge\n" + std::string(name) + " " + std::to_string(value) +
-                "\n";
-    };
-    add("savory_remembered_submissions", "Submissions remembered.", remembered.records);
-    add("savory_remembered_bytes", "Bytes held by remembered submissions.", remembered.bytes);
-    add("savory_tasks_in_flight", "Requests out at executors.", m_home.tasks_in_flight());
-    add("savory_configuration_version", "Version of the manifest in force.",
-        m_configuration.version());
-    return text;
+    const auto current = m_configuration.current();
+    telemetry::exposition out;
+    m_metrics.write(out);
+    write_gauges({m_ledger.size(), m_home.tasks_in_flight(), m_configuration.version(),
+                  m_dispatcher.status(), current ? &current->value.objectives : nullptr},
+                 out);
+    return out.text();
+}
+
+std::string entry::story_json(const submission::submission_id& id) const {
+    const auto it = m_stories.find(id);
+    return it ? story::to_json(*it, submission::to_string(id), m_settings.node().name()) : "";
 }
 
 } // namespace savorytrail::entry
--- a/source/core/entry/entry.h
+++ b/source/core/entry/entry.h
@@ -16,6 +16,7 @@
 #include "core/common/random.h"
 #include "core/configuration/holder.h"
 #include "core/dispatch/dispatcher.h"
+#include "core/entry/watcher.h"
 #include "core/front/front.h"
 #include "core/handover/client.h"
 #include "core/handover/heirs.h"
@@ -60,6 +61,7 @@
     bool is_ready() const;
     std::string status_json() const;
     std::string metrics_text() const;
+    std::string story_json(const submission::submission_id& id) const;
 
     const schema::entry_settings m_settings;
     common::system_clock m_clock;
@@ -67,6 +69,9 @@
     submission::issuer m_ids;
     submission::ledger m_ledger;
     dispatch::dispatcher m_dispatcher;
+    telemetry::entry_metrics m_metrics;
+    story::book m_stories;
+    watcher m_watcher;
     upstream::requester m_requester;
     home::home m_home;
     platform::client m_platform;
--- /dev/null
+++ b/source/core/entry/watcher.cpp
@@ -0,0 +1,111 @@
+// Events of stories and counts, from the home's observer calls.
+#include "core/entry/watcher.h"
+
+#include <algorithm>
+
+#include "absl/strings/str_cat.h"
+
+namespace savorytrail::entry {
+namespace {
+
+const char* name_of(submission::task_end end) {
+    switch (end) {
+    case submission::task_end::answered:
+        return "answered";
+    case submission::task_end::failed:
+        return "failed";
+    case submission::task_end::unknown:
+        return "unknown";
+    case submission::task_end::not_started:
+        return "not_started";
+    }
+    return "unknown";
+}
+
+std::string describe(const job::answer& answer) {
+    std::string text(job::to_string(answer.state));
+    if (answer.why != job::reason::none)
+        text += ", " + std::string(job::to_string(answer.why));
+    if (!answer.detail.empty())
+        text += ": " + answer.detail;
+    return text;
+}
+
+std::string place(const home::outgoing_task& task) {
+    return absl::StrCat("task ", task.where.task, " at ", task.where.executor->name, " (",
+                        task.where.executor->address.to_string(), ")");
+}
+
+} // namespace
+
+void watcher::came_in(const submission::submission_id& id, const std::string& at) {
+    m_stories.add(id, "came_in", "at entry " + at);
+}
+
+void watcher::opened(const submission::submission_id& id, const job::job& body) {
+    {
+        shard& home = shard_of(id);
+        const std::lock_guard lock(home.mutex);
+        home.open[id] = {m_clock.now(), {}};
+    }
+    m_stories.add(id, "opened",
+                  absl::StrCat(body.tasks.size(), " tasks of team ", body.team, " for upstream ",
+                               body.upstream));
+}
+
+void watcher::resubmitted(const submission::submission_id& id) {
+    m_stories.add(id, "resubmitted", "joined the first submission");
+}
+
+void watcher::not_recorded(const submission::submission_id& id, const job::answer& answer) {
+    m_metrics.count_answer(job::to_string(answer.state), job::to_string(answer.why));
+    m_stories.add(id, "not_recorded", describe(answer));
+}
+
+void watcher::admitted(const submission::submission_id& id) {
+    m_stories.add(id, "admitted", "");
+}
+
+void watcher::task_sent(const home::outgoing_task& task) {
+    m_metrics.count_message("task");
+    m_stories.add(task.where.id, "task_sent", place(task));
+}
+
+void watcher::task_ended(const home::outgoing_task& task, const home::task_outcome& outcome) {
+    m_metrics.count_task_end(name_of(outcome.end));
+    std::string detail = absl::StrCat(place(task), " after ", outcome.took.count(), " ms: ");
+    if (outcome.end == submission::task_end::not_started)
+        detail += "not started, back to the queue";
+    else
+        detail += name_of(outcome.end);
+    if (outcome.result.status != 0)
+        absl::StrAppend(&detail, ", status ", outcome.result.status);
+    m_stories.add(task.where.id, "task_ended", std::move(detail));
+
+    shard& home = shard_of(task.where.id);
+    const std::lock_guard lock(home.mutex);
+    const auto it = home.open.find(task.where.id);
+    if (it != home.open.end() && outcome.end == submission::task_end::answered)
+        it->second.longest_task = std::max(it->second.longest_task, outcome.took);
+}
+
+void watcher::answered(const submission::submission_id& id, const job::answer& answer) {
+    open_submission ended;
+    {
+        shard& home = shard_of(id);
+        const std::lock_guard lock(home.mutex);
+        const auto it = home.open.find(id);
+        if (it == home.open.end())
+            return;
+        ended = it->second;
+        home.open.erase(it);
+    }
+    m_metrics.count_answer(job::to_string(answer.state), job::to_string(answer.why));
+    if (answer.state == job::answer_state::complete)
+        m_metrics.observe_response(
+            std::chrono::duration_cast<common::milliseconds>(m_clock.now() - ended.opened),
+            ended.longest_task);
+    m_stories.add_final(id, "answered", describe(answer));
+}
+
+} // namespace savorytrail::entry
--- /dev/null
+++ b/source/core/entry/watcher.h
@@ -0,0 +1,54 @@
+// Turns the home's decisions into metrics and stories.
+#pragma once
+
+#include <array>
+#include <mutex>
+
+#include "absl/container/flat_hash_map.h"
+#include "core/common/clock.h"
+#include "core/home/home.h"
+#include "core/story/book.h"
+#include "core/telemetry/entry_metrics.h"
+
+namespace savorytrail::entry {
+
+class watcher final : public home::observer {
+public:
+    watcher(const common::clock& clock, telemetry::entry_metrics& metrics, story::book& stories)
+        : m_clock(clock), m_metrics(metrics), m_stories(stories) {}
+
+    void came_in(const submission::submission_id& id, const std::string& at);
+
+    void opened(const submission::submission_id& id, const job::job& body) override;
+    void resubmitted(const submission::submission_id& id) override;
+    void not_recorded(const submission::submission_id& id, const job::answer& answer) override;
+    void admitted(const submission::submission_id& id) override;
+    void task_sent(const home::outgoing_task& task) override;
+    void task_ended(const home::outgoing_task& task, const home::task_outcome& outcome) override;
+    void answered(const submission::submission_id& id, const job::answer& answer) override;
+
+private:
+    struct open_submission {
+        common::time_point opened;
+        common::milliseconds longest_task{0};
+    };
+
+    struct shard {
+        std::mutex mutex;
+        // Guarded by mutex. As many as the ledger has open, which bounds it.
+        absl::flat_hash_map<submission::submission_id, open_submission> open;
+    };
+
+    static constexpr std::size_t shard_count = 8;
+
+    shard& shard_of(const submission::submission_id& id) {
+        return m_shards.at(id.sequence % shard_count);
+    }
+
+    const common::clock& m_clock;
+    telemetry::entry_metrics& m_metrics;
+    story::book& m_stories;
+    std::array<shard, shard_count> m_shards;
+};
+
+} // namespace savorytrail::entry
--- a/source/core/front/front.cpp
+++ b/source/core/front/front.cpp
@@ -81,6 +81,8 @@
     m_server->Put(R"(/v1/jobs/([^/]+))", serve([this](const request& in) { return submit(in); }));
     m_server->Get(R"(/v1/jobs/([^/]+))",
                   serve([this](const request& in) { return ask(in, peer::request_kind::query); }));
+    m_server->Get(R"(/v1/jobs/([^/]+)/story)",
+                  serve([this](const request& in) { return tell_story(in); }));
     m_server->Delete(R"(/v1/jobs/([^/]+))", serve([this](const request& in) {
                          return ask(in, peer::request_kind::cancel);
                      }));
@@ -171,6 +173,20 @@
     return route(request.matches[1], kind, std::nullopt, *wait);
 }
 
+reply front::tell_story(const httplib::Request& request) {
+    const auto id = submission::parse_submission_id(request.matches[1].str());
+    if (!id)
+        return error_reply(400, "invalid_id", "id", "is not a submission id");
+    auto result = m_router.route({peer::request_kind::story, *id, std::nullopt, {}, {}});
+    if (!result.story.empty())
+        return {200, std::move(result.story), {}};
+    if (result.answer.why == job::reason::home_unreachable)
+        return result_reply(result, submission::to_string(*id));
+    return error_reply(404, "no_story", "id",
+                       "nothing is known of this submission, or no longer; stories end with the "
+                       "entry that issued the id");
+}
+
 reply front::route(const std::string& id_text, peer::request_kind kind, std::optional<job::job> job,
                    common::milliseconds wait) {
     const auto id = submission::parse_submission_id(id_text);
--- a/source/core/front/front.h
+++ b/source/core/front/front.h
@@ -63,6 +63,7 @@
     reply issue_ids(const httplib::Request& request);
     reply submit(const httplib::Request& request);
     reply submit_with_key(const httplib::Request& request);
+    reply tell_story(const httplib::Request& request);
     reply ask(const httplib::Request& request, peer::request_kind kind);
     reply route(const std::string& id_text, peer::request_kind kind, std::optional<job::job> job,
                 common::milliseconds wait);
--- a/source/core/peer/client.cpp
+++ b/source/core/peer/client.cpp
@@ -10,6 +10,7 @@
 
 common::result<forward_result> client::forward(const common::endpoint& to,
                                                const forward_request& request) {
+    m_on_send();
     schema::forward_request message;
     to_message(request, message);
     grpc::ClientContext context;
--- a/source/core/peer/client.h
+++ b/source/core/peer/client.h
@@ -1,6 +1,8 @@
 // Forwards callers' requests to the homes of their submission ids.
 #pragma once
 
+#include <functional>
+
 #include "core/common/endpoint.h"
 #include "core/common/error.h"
 #include "core/peer/channels.h"
@@ -27,8 +29,11 @@
 class client final : public forwarder {
 public:
     // `call_timeout` bounds a call beyond the wait that it carries.
-    client(channels& channels, common::milliseconds call_timeout)
-        : m_channels(channels), m_call_timeout(call_timeout) {}
+    // `on_send` is called for each message that is sent.
+    client(
+        channels& channels, common::milliseconds call_timeout,
+        std::function<void()> on_send = [] {})
+        : m_channels(channels), m_call_timeout(call_timeout), m_on_send(std::move(on_send)) {}
 
     common::result<forward_result> forward(const common::endpoint& to,
                                            const forward_request& request) override;
@@ -36,6 +41,7 @@
 private:
     channels& m_channels;
     const common::milliseconds m_call_timeout;
+    const std::function<void()> m_on_send;
 };
 
 } // namespace savorytrail::peer
--- a/source/core/peer/codec.cpp
+++ b/source/core/peer/codec.cpp
@@ -37,6 +37,7 @@
     job::to_message(value.answer, *out.mutable_answer());
     out.mutable_current()->set_high(value.current.high);
     out.mutable_current()->set_low(value.current.low);
+    out.set_story(value.story);
 }
 
 std::optional<forward_result> from_message(const schema::forward_reply& message) {
@@ -47,7 +48,8 @@
         return std::nullopt;
     return forward_result{static_cast<forward_outcome>(message.outcome()),
                           std::move(*answer),
-                          {message.current().high(), message.current().low()}};
+                          {message.current().high(), message.current().low()},
+                          message.story()};
 }
 
 } // namespace savorytrail::peer
--- a/source/core/peer/types.h
+++ b/source/core/peer/types.h
@@ -11,7 +11,7 @@
 
 namespace savorytrail::peer {
 
-enum class request_kind : std::uint8_t { submit, query, cancel };
+enum class request_kind : std::uint8_t { submit, query, cancel, story };
 
 struct forward_request {
     request_kind kind = request_kind::query;
@@ -29,6 +29,7 @@
     forward_outcome outcome = forward_outcome::answered;
     job::answer answer;
     submission::incarnation current; // of the process that replied
+    std::string story;               // JSON; empty unless a story was asked for and is known
 
     bool operator==(const forward_result&) const = default;
 };
--- a/source/core/routing/home_handler.cpp
+++ b/source/core/routing/home_handler.cpp
@@ -4,6 +4,10 @@
 namespace savorytrail::routing {
 
 void home_handler::handle(peer::forward_request request, done_function done) {
+    if (request.kind == peer::request_kind::story) {
+        done(tell_story(request.id));
+        return;
+    }
     peer::forward_result reply;
     reply.current = m_ids.self();
     // A call that does not wait leaves no listener behind, so that polling costs no memory.
@@ -48,14 +52,28 @@
     return m_inherited.answer(request.id, is_submission ? &*request.job : nullptr);
 }
 
+// An heir keeps answers, not stories.
+peer::forward_result home_handler::tell_story(const submission::submission_id& id) const {
+    peer::forward_result reply;
+    reply.current = m_ids.self();
+    if (id.home == m_ids.self())
+        reply.story = m_stories.story(id);
+    else if (!m_inherited.holds(id.home))
+        reply.outcome = peer::forward_outcome::not_home;
+    return reply;
+}
+
 home::request_result home_handler::ask_home(peer::forward_request& request,
                                             submission::answer_listener listener) {
     switch (request.kind) {
     case peer::request_kind::submit:
+        if (m_ids.is_genuine(request.id))
+            m_stories.came_in(request.id, request.came_in_at);
         return m_home.submit(request.id, std::move(*request.job), std::move(listener));
     case peer::request_kind::cancel:
         return m_home.cancel(request.id);
     case peer::request_kind::query:
+    case peer::request_kind::story:
         break;
     }
     return m_home.query(request.id, std::move(listener));
--- a/source/core/routing/router.cpp
+++ b/source/core/routing/router.cpp
@@ -50,6 +50,7 @@
     request.came_in_at = m_vm_name;
     if (m_local.serves(request.id.home))
         return ask_local(std::move(request));
+    m_hooks.forwarded();
     return ask_peer(request);
 }
 
@@ -76,7 +77,9 @@
     const auto state = std::get<home_state>(result);
     if (auto inherited = ask_heir(request))
         return std::move(*inherited);
-    return state == home_state::dead ? home_is_dead(request) : home_is_unreachable();
+    auto answer = state == home_state::dead ? home_is_dead(request) : home_is_unreachable();
+    m_hooks.spoke_for_home(answer.answer);
+    return answer;
 }
 
 std::variant<peer::forward_result, router::home_state>
--- a/source/core/routing/router.h
+++ b/source/core/routing/router.h
@@ -1,6 +1,7 @@
 // Brings a caller's request to the home of its submission id and waits there for the answer.
 #pragma once
 
+#include <functional>
 #include <optional>
 #include <string>
 #include <variant>
@@ -12,12 +13,19 @@
 
 namespace savorytrail::routing {
 
+// For metrics.
+struct routing_hooks {
+    std::function<void()> forwarded = [] {}; // a request goes on to another entry
+    // An answer is given without the home's word.
+    std::function<void(const job::answer&)> spoke_for_home = [](const job::answer&) {};
+};
+
 class router {
 public:
     router(std::string vm_name, home_handler& local, peer::forwarder& peers,
-           const membership::directory& directory, handover::heirs& heirs)
+           const membership::directory& directory, handover::heirs& heirs, routing_hooks hooks = {})
         : m_vm_name(std::move(vm_name)), m_local(local), m_peers(peers), m_directory(directory),
-          m_heirs(heirs) {}
+          m_heirs(heirs), m_hooks(std::move(hooks)) {}
 
     // Blocks until the answer is final or the request's wait is over.
     peer::forward_result route(peer::forward_request request);
@@ -40,6 +48,7 @@
     peer::forwarder& m_peers;
     const membership::directory& m_directory;
     handover::heirs& m_heirs;
+    const routing_hooks m_hooks;
 };
 
 } // namespace savorytrail::routing
