--- /dev/null
+++ b/source/core/report/advice.h
@@ -0,0 +1,13 @@
+// What to do next about an objective that burns.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "core/report/burn.h"
+
+namespace savorytrail::report {
+
+std::vector<std::string> advise(const burn_report& report, const objective_burn& burn);
+
+} // namespace savorytrail::report
