--- a/source/programs/savory_entry/main.cpp
+++ b/source/programs/savory_entry/main.cpp
@@ -58,17 +58,23 @@
 } // namespace
 
 int main(int argc, char** argv) {
-    CLI::App app("Entry VM server of savorytrail: takes jobs from callers and runs their tasks on "
-                 "upstreams.\nExit codes: 0 stopped cleanly, 1 cannot start, 2 bad settings, "
-                 "3 stopped with requests in flight.\nExample: savory-entry --settings entry.toml");
+    CLI::App app(
+        "Entry VM server of savorytrail: takes jobs from callers and runs their tasks on "
+        "upstreams.\nExit codes: 0 stopped cleanly, 1 cannot start, 2 bad usage or settings, "
+        "3 stopped with requests in flight.\nExample: savory-entry --settings entry.toml");
     std::string file;
     std::vector<std::string> overrides;
     bool print_only = false;
     app.add_option("--settings", file, "Settings file (TOML)")->required();
-    app.add_option("--set", overrides, "Override, such as callers.threads=8");
+    app.add_option("--set", overrides, "Override, such as callers.threads=8")
+        ->allow_extra_args(false);
     app.add_flag("--print-settings", print_only, "Print the settings in force and end");
     app.set_version_flag("--version", SAVORY_VERSION);
-    CLI11_PARSE(app, argc, argv);
+    try {
+        app.parse(argc, argv);
+    } catch (const CLI::ParseError& e) {
+        return app.exit(e) == 0 ? exit_ok : exit_bad_settings;
+    }
 
     const auto loaded = settings::load_file<schema::entry_settings>(file, overrides);
     if (!loaded.ok()) {
