Connections to executors: checked before use, suspected together, bounded

A kept connection that the server had closed was replaced silently by the library, and bytes that arrived while a connection was idle were taken for the next request's answer. A connection that went silent left the others of the pool in use.

Now an idle connection is used only if it is open, has nothing unread and was idle for less than 4 s (common servers keep theirs for 5 s or longer). After a timeout no connection opened before is used again. A client holds at most its share of connections; the requester's is the executor's slots, so seven entries of a domain with 8 slots each stay below 60 connections. TCP keepalive and TCP_USER_TIMEOUT end connections that the network has forgotten. An answer that trickles in is bounded too. timed_out is told from connection_lost by the time passed: the library has one error for both.

Ruled out: sending again on a fresh connection when a kept one breaks. Whether the request was read cannot be told, so its outcome is unknown.

--- a/source/core/http/client.cpp
+++ b/source/core/http/client.cpp
@@ -1,23 +1,57 @@
 // The connection pool. Each pooled connection is one cpp-httplib client with keep-alive.
+//
+// cpp-httplib sends a request once, but it has two habits that the pool must not meet: it opens a
+// new connection by itself when the kept one was closed, and it takes bytes that arrived while a
+// connection was idle for the next answer. So the pool checks an idle connection before use and
+// lets go of one that is closed or has unread bytes.
 #include "core/http/client.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <sys/socket.h>
+
 #include "httplib.h"
 
 namespace savorytrail::http {
 namespace {
 
 using common::error;
+using std::chrono::milliseconds;
+
+constexpr int keep_alive_idle_s = 5;
+constexpr int keep_alive_interval_s = 1;
+constexpr int keep_alive_probes = 3;
+// Bytes unacknowledged for this long end the connection.
+constexpr unsigned int unacknowledged_timeout_ms = 5000;
 
-error to_error(httplib::Error code) {
+void set_option(socket_t socket, int level, int name, unsigned int value) {
+    setsockopt(socket, level, name, &value, sizeof(value));
+}
+
+void set_socket_options(socket_t socket) {
+    set_option(socket, SOL_SOCKET, SO_KEEPALIVE, 1);
+    set_option(socket, IPPROTO_TCP, TCP_KEEPIDLE, keep_alive_idle_s);
+    set_option(socket, IPPROTO_TCP, TCP_KEEPINTVL, keep_alive_interval_s);
+    set_option(socket, IPPROTO_TCP, TCP_KEEPCNT, keep_alive_probes);
+    set_option(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledged_timeout_ms);
+}
+
+// A server sends nothing on an idle connection, so one that is readable was closed or reset, or
+// holds an answer that no request waits for.
+bool is_quiet(socket_t socket) {
+    pollfd state{socket, POLLIN, 0};
+    return ::poll(&state, 1, 0) == 0;
+}
+
+error to_error(httplib::Error code, bool is_late) {
     switch (code) {
     case httplib::Error::Connection:
     case httplib::Error::BindIPAddress:
     case httplib::Error::ConnectionTimeout:
         return error::unreachable;
-    case httplib::Error::Read:
-        return error::timed_out;
     default:
-        return error::connection_lost;
+        return is_late ? error::timed_out : error::connection_lost;
     }
 }
 
@@ -41,11 +75,12 @@
         : client(server.host, server.port), generation(generation_) {}
 
     httplib::Client client;
-    std::uint64_t generation;
+    const std::uint64_t generation;
+    clock::time_point idle_since;
 };
 
-client::client(common::endpoint server, client_timeouts timeouts)
-    : m_server(std::move(server)), m_timeouts(timeouts) {}
+client::client(common::endpoint server, client_timeouts timeouts, std::size_t max_connections)
+    : m_server(std::move(server)), m_timeouts(timeouts), m_max_connections(max_connections) {}
 
 client::~client() = default;
 
@@ -53,46 +88,117 @@
     return send(message, m_timeouts.answer);
 }
 
-common::result<response> client::send(const request& message,
-                                      std::chrono::milliseconds answer_timeout) {
-    auto it = take();
-    it->client.set_read_timeout(answer_timeout);
-    const auto answer = it->client.send(to_library(message));
-    if (!answer)
-        return make_error_code(to_error(answer.error()));
+common::result<response> client::send(const request& message, milliseconds answer_timeout) {
+    auto it = take(clock::now() + m_timeouts.connect);
+    if (!it)
+        return make_error_code(error::unreachable);
+    auto answer = exchange(*it, message, answer_timeout);
+    if (answer) {
+        give_back(std::move(it));
+        return answer;
+    }
+    discard(std::move(it));
+    if (answer.error() == error::timed_out)
+        drop_connections();
+    return answer;
+}
 
-    response reply{answer->status, answer->body};
-    give_back(std::move(it));
-    return reply;
+common::result<response> client::exchange(connection& it, const request& message,
+                                          milliseconds answer_timeout) const {
+    const auto deadline = clock::now() + answer_timeout;
+    auto out = to_library(message);
+    // The library's own timeout bounds a silence; this bounds an answer that trickles in.
+    out.progress = [deadline](std::uint64_t, std::uint64_t) { return clock::now() < deadline; };
+    it.client.set_read_timeout(answer_timeout);
+    const auto answer = it.client.send(out);
+    if (!answer)
+        return make_error_code(to_error(answer.error(), clock::now() >= deadline));
+    return response{answer->status, answer->body};
 }
 
 void client::drop_connections() {
+    std::vector<connection_ptr> dropped;
     const std::lock_guard lock(m_mutex);
     m_generation++;
-    m_idle.clear();
+    dropped.swap(m_idle);
+    m_returned.notify_all();
 }
 
-std::unique_ptr<client::connection> client::take() {
-    {
-        const std::lock_guard lock(m_mutex);
-        if (!m_idle.empty()) {
-            auto it = std::move(m_idle.back());
-            m_idle.pop_back();
+void client::close_stale() {
+    const auto now = clock::now();
+    const std::lock_guard lock(m_mutex);
+    std::erase_if(m_idle, [&](const auto& it) { return is_stale(*it, now); });
+    m_returned.notify_all();
+}
+
+void client::set_max_connections(std::size_t n) {
+    const std::lock_guard lock(m_mutex);
+    m_max_connections = n;
+    m_returned.notify_all();
+}
+
+std::size_t client::connections() const {
+    const std::lock_guard lock(m_mutex);
+    return m_in_use + m_idle.size();
+}
+
+client::connection_ptr client::take(clock::time_point deadline) {
+    std::unique_lock lock(m_mutex);
+    const auto has_room = [this] { return !m_idle.empty() || m_in_use < m_max_connections; };
+    if (!m_returned.wait_until(lock, deadline, has_room))
+        return nullptr;
+    m_in_use++;
+    auto it = take_idle();
+    return it ? std::move(it) : open();
+}
+
+// The connection used last is the likeliest to be sound; the others age until they are closed.
+client::connection_ptr client::take_idle() {
+    const auto now = clock::now();
+    while (!m_idle.empty()) {
+        auto it = std::move(m_idle.back());
+        m_idle.pop_back();
+        if (!is_stale(*it, now))
             return it;
-        }
     }
-    auto it = std::make_unique<connection>(m_server, m_generation.load());
+    return nullptr;
+}
+
+bool client::is_stale(const connection& it, clock::time_point now) const {
+    if (now - it.idle_since > m_timeouts.idle)
+        return true;
+    return !it.client.is_socket_open() || !is_quiet(it.client.socket());
+}
+
+client::connection_ptr client::open() const {
+    auto it = std::make_unique<connection>(m_server, m_generation);
     it->client.set_keep_alive(true);
     it->client.set_tcp_nodelay(true);
     it->client.set_connection_timeout(m_timeouts.connect);
     it->client.set_write_timeout(m_timeouts.connect);
+    it->client.set_socket_options(set_socket_options);
     return it;
 }
 
-void client::give_back(std::unique_ptr<connection> it) {
+void client::give_back(connection_ptr it) {
+    it->idle_since = clock::now();
+    {
+        const std::lock_guard lock(m_mutex);
+        if (it->client.is_socket_open() && it->generation == m_generation) {
+            m_idle.push_back(std::move(it));
+            m_in_use--;
+            m_returned.notify_one();
+            return;
+        }
+    }
+    discard(std::move(it));
+}
+
+void client::discard(connection_ptr it) {
+    it.reset();
     const std::lock_guard lock(m_mutex);
-    if (it->generation == m_generation.load())
-        m_idle.push_back(std::move(it));
+    m_in_use--;
+    m_returned.notify_one();
 }
 
 } // namespace savorytrail::http
--- a/source/core/http/client.h
+++ b/source/core/http/client.h
@@ -1,10 +1,12 @@
 // A pool of kept HTTP connections to one server, with outcomes that tell whether a failed request
-// can have reached it. The distinction decides whether a task may be tried elsewhere.
+// can have reached it. The distinction decides whether a task may be tried elsewhere. A request is
+// never sent twice.
 #pragma once
 
-#include <atomic>
 #include <chrono>
+#include <condition_variable>
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -42,35 +44,61 @@
 struct client_timeouts {
     std::chrono::milliseconds connect{500};
     std::chrono::milliseconds answer{10000};
+    // Idle connections are closed after this time, which is below the shortest that common servers
+    // keep theirs (5 s), so that a request does not meet a connection that is just being closed.
+    std::chrono::milliseconds idle{4000};
 
     bool operator==(const client_timeouts&) const = default;
 };
 
 class client {
 public:
-    client(common::endpoint server, client_timeouts timeouts);
+    client(common::endpoint server, client_timeouts timeouts,
+           std::size_t max_connections = unlimited_connections);
     ~client();
     client(const client&) = delete;
     client& operator=(const client&) = delete;
 
+    static constexpr std::size_t unlimited_connections = SIZE_MAX;
+
     // Sends one request and waits for its answer. common::error::unreachable means that no byte of
-    // it was sent; timed_out and connection_lost mean that it may have arrived.
+    // it was sent; timed_out and connection_lost mean that it may have arrived. After timed_out the
+    // other connections are suspected and not used again, as by drop_connections().
     common::result<response> send(const request& message);
     common::result<response> send(const request& message, std::chrono::milliseconds answer_timeout);
 
     // Closes idle connections and marks those in use, so that none of them is used again.
     void drop_connections();
+    // Closes connections that have been idle for too long or that the server has closed.
+    void close_stale();
+    // Applies to connections that are opened from now on.
+    void set_max_connections(std::size_t n);
+
+    // Connections in use and idle ones.
+    std::size_t connections() const;
 
 private:
     struct connection;
-    std::unique_ptr<connection> take();
-    void give_back(std::unique_ptr<connection> it);
+    using connection_ptr = std::unique_ptr<connection>;
+    using clock = std::chrono::steady_clock;
+
+    connection_ptr take(clock::time_point deadline);
+    connection_ptr take_idle();
+    void give_back(connection_ptr it);
+    void discard(connection_ptr it);
+    connection_ptr open() const;
+    bool is_stale(const connection& it, clock::time_point now) const;
+    common::result<response> exchange(connection& it, const request& message,
+                                      std::chrono::milliseconds answer_timeout) const;
 
     const common::endpoint m_server;
     const client_timeouts m_timeouts;
-    std::mutex m_mutex;
-    std::vector<std::unique_ptr<connection>> m_idle; // guarded by m_mutex
-    std::atomic<std::uint64_t> m_generation{0};      // grows with every drop_connections()
+    mutable std::mutex m_mutex; // guards all below
+    std::condition_variable m_returned;
+    std::vector<connection_ptr> m_idle; // the longest idle first
+    std::size_t m_in_use = 0; // with m_idle at most m_max_connections when it is not lowered
+    std::size_t m_max_connections;
+    std::uint64_t m_generation = 0; // grows with every drop_connections()
 };
 
 } // namespace savorytrail::http
--- a/source/core/upstream/requester.cpp
+++ b/source/core/upstream/requester.cpp
@@ -1,6 +1,7 @@
 // Requests to executors, one thread for each that is in flight.
 #include "core/upstream/requester.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "core/http/client.h"
@@ -58,19 +59,31 @@
                                            std::to_string(task.where.task)}};
 
     const auto before = m_clock.now();
-    const auto answer = client_of(task.where.executor->address)->send(message, task.timeout);
+    const auto answer = client_of(*task.where.executor)->send(message, task.timeout);
     auto outcome = to_outcome(answer, task.not_accepted_status);
     outcome.took = std::chrono::duration_cast<common::milliseconds>(m_clock.now() - before);
     return outcome;
 }
 
-std::shared_ptr<http::client> requester::client_of(const common::endpoint& address) {
+std::shared_ptr<http::client> requester::client_of(const manifest::executor& executor) {
+    const std::size_t share = std::min(executor.slots, executor.connections);
     const std::lock_guard lock(m_mutex);
-    auto& it = m_clients[address.to_string()];
+    auto& it = m_clients[executor.address.to_string()];
     if (!it)
-        it = std::make_shared<http::client>(
-            address, http::client_timeouts{m_limits.connect_timeout, common::milliseconds(10000)});
+        it = std::make_shared<http::client>(executor.address,
+                                            http::client_timeouts{m_limits.connect_timeout});
+    it->set_max_connections(share);
     return it;
 }
 
+void requester::close_stale() {
+    const std::lock_guard lock(m_mutex);
+    for (const auto& [address, it] : m_clients)
+        it->close_stale();
+    absl::erase_if(m_clients, [](const auto& element) {
+        const auto& it = element.second;
+        return it.use_count() == 1 && it->connections() == 0;
+    });
+}
+
 } // namespace savorytrail::upstream
--- a/source/core/upstream/requester.h
+++ b/source/core/upstream/requester.h
@@ -1,4 +1,5 @@
-// Sends tasks to executors over HTTP and reports how each ended. It never sends a task twice.
+// Sends tasks to executors over HTTP and reports how each ended. It never sends a task twice, and
+// holds at most as many connections to an executor as it has slots.
 #pragma once
 
 #include <memory>
@@ -6,9 +7,9 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "core/common/clock.h"
-#include "core/common/endpoint.h"
 #include "core/common/thread_pool.h"
 #include "core/home/home.h"
+#include "core/manifest/manifest.h"
 
 namespace savorytrail::http {
 class client;
@@ -35,12 +36,15 @@
     // Queues the task for sending; the handler is called exactly once, from another thread.
     void send(home::outgoing_task task);
 
+    // Closes connections that have been idle for long. Called from time to time.
+    void close_stale();
+
     // Waits for the requests in flight.
     void shut_down();
 
 private:
     home::task_outcome perform(const home::outgoing_task& task);
-    std::shared_ptr<http::client> client_of(const common::endpoint& address);
+    std::shared_ptr<http::client> client_of(const manifest::executor& executor);
 
     const common::clock& m_clock;
     const requester_limits m_limits;
