--- /dev/null
+++ b/source/core/membership/heartbeat.cpp
@@ -0,0 +1,115 @@
+// The encoding of heartbeats.
+#include "core/membership/heartbeat.h"
+
+#include <algorithm>
+
+#include "membership.pb.h"
+
+namespace savorytrail::membership {
+namespace {
+
+constexpr std::uint32_t heartbeat_magic = 0x53561001;
+constexpr std::size_t successions_per_datagram = 1;
+constexpr std::size_t idle_per_datagram = 2;
+constexpr std::size_t demands_per_datagram = 8;
+
+schema::heartbeat to_message(const heartbeat& value) {
+    schema::heartbeat out;
+    out.set_magic(heartbeat_magic);
+    out.set_vm(value.vm);
+    out.set_incarnation_high(value.incarnation.high);
+    out.set_incarnation_low(value.incarnation.low);
+    out.set_sequence(value.sequence);
+    out.set_state(static_cast<std::uint32_t>(value.state));
+    out.set_configuration_version(value.configuration_version);
+    out.set_list_revision(value.list_revision);
+    out.set_platform_unreachable(!value.platform_reachable);
+    for (const auto& it : value.idle) {
+        auto* element = out.add_idle();
+        element->set_upstream(it.upstream);
+        element->set_slots(it.slots);
+    }
+    for (const auto& it : value.demand) {
+        auto* element = out.add_demand();
+        element->set_team(it.team);
+        element->set_tasks_per_second(it.tasks_per_second);
+    }
+    for (const auto& it : value.successions) {
+        auto* element = out.add_heirs();
+        element->set_old_high(it.old.high);
+        element->set_old_low(it.old.low);
+        element->set_heir_high(it.heir.high);
+        element->set_heir_low(it.heir.low);
+        element->set_heir_vm(it.heir_vm);
+    }
+    return out;
+}
+
+heartbeat from_message(const schema::heartbeat& message) {
+    heartbeat value;
+    value.vm = message.vm();
+    value.incarnation = {message.incarnation_high(), message.incarnation_low()};
+    value.sequence = message.sequence();
+    value.state = static_cast<entry_state>(message.state());
+    value.configuration_version = message.configuration_version();
+    value.list_revision = message.list_revision();
+    value.platform_reachable = !message.platform_unreachable();
+    for (const auto& it : message.idle())
+        value.idle.push_back({it.upstream(), it.slots()});
+    for (const auto& it : message.demand())
+        value.demand.push_back({it.team(), it.tasks_per_second()});
+    for (const auto& it : message.heirs())
+        value.successions.push_back(
+            {{it.old_high(), it.old_low()}, {it.heir_high(), it.heir_low()}, it.heir_vm()});
+    return value;
+}
+
+// Moves elements of `from` into `to`, starting at `next`, while the datagram has room. `next` then
+// names the first element of the following datagram.
+template <typename T>
+void take_turns(const std::vector<T>& from, std::vector<T>& to, std::size_t& next, std::size_t most,
+                const heartbeat& datagram) {
+    const std::size_t n = std::min(most, from.size());
+    for (std::size_t i = 0; i < n; i++) {
+        to.push_back(from[next % from.size()]);
+        if (encode(datagram).size() > max_heartbeat_bytes) {
+            to.pop_back();
+            return;
+        }
+        next = (next + 1) % from.size();
+    }
+}
+
+} // namespace
+
+std::uint32_t name_number(std::string_view name) {
+    return submission::vm_number(name);
+}
+
+std::string encode(const heartbeat& value) {
+    return to_message(value).SerializeAsString();
+}
+
+std::optional<heartbeat> decode(std::string_view datagram) {
+    schema::heartbeat message;
+    if (datagram.size() > max_heartbeat_bytes ||
+        !message.ParseFromArray(datagram.data(), static_cast<int>(datagram.size())))
+        return std::nullopt;
+    if (message.magic() != heartbeat_magic || message.sequence() == 0 ||
+        message.state() > static_cast<std::uint32_t>(entry_state::left))
+        return std::nullopt;
+    return from_message(message);
+}
+
+heartbeat heartbeat_composer::next(const heartbeat& full) {
+    heartbeat it = full;
+    it.idle.clear();
+    it.demand.clear();
+    it.successions.clear();
+    take_turns(full.successions, it.successions, m_next_succession, successions_per_datagram, it);
+    take_turns(full.idle, it.idle, m_next_idle, idle_per_datagram, it);
+    take_turns(full.demand, it.demand, m_next_demand, demands_per_datagram, it);
+    return it;
+}
+
+} // namespace savorytrail::membership
--- /dev/null
+++ b/source/core/membership/view.cpp
@@ -0,0 +1,232 @@
+// The view's rules.
+#include "core/membership/view.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace savorytrail::membership {
+namespace {
+
+using platform::vm_state;
+
+constexpr std::size_t kept_replaced = 4;
+constexpr std::size_t kept_successions = 256;
+constexpr std::size_t kept_told = 1024; // upstreams or teams of one entry
+constexpr common::milliseconds flap_window{300000};
+constexpr int first_beats_to_return = 2;
+constexpr int most_doublings = 3;
+
+} // namespace
+
+void view::update(const std::vector<platform::vm>& entries, common::time_point now) {
+    const std::lock_guard lock(m_mutex);
+    absl::flat_hash_map<std::uint32_t, record> next;
+    m_is_list_known = true;
+    m_is_self_listed = false;
+    for (const auto& it : entries) {
+        if (it.name == m_self.name) {
+            m_is_self_listed = it.state == vm_state::live;
+            continue;
+        }
+        if (it.state == vm_state::gone || !it.address)
+            continue;
+        const auto number = submission::vm_number(it.name);
+        const auto known = m_records.find(number);
+        record value;
+        value.listed_since = now;
+        if (known != m_records.end())
+            value = std::move(known->second);
+        value.vm = it;
+        next.emplace(number, std::move(value));
+    }
+    m_records = std::move(next);
+}
+
+bool view::hear(const heartbeat& it, common::time_point now) {
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_records.find(it.vm);
+    if (found == m_records.end())
+        return false;
+    auto& known = found->second;
+    if (!is_in_order(known, it))
+        return false;
+
+    note_silence(known, now);
+    known.last = it;
+    known.last_heard = now;
+    for (const auto& told : it.idle) {
+        if (known.idle.size() < kept_told || known.idle.contains(told.upstream))
+            known.idle[told.upstream] = {told.slots, now};
+    }
+    for (const auto& told : it.demand) {
+        if (known.demand.size() < kept_told || known.demand.contains(told.team))
+            known.demand[told.team] = {told.tasks_per_second, now};
+    }
+    remember(it.successions);
+    return true;
+}
+
+// A new incarnation replaces the one known for good, so that its delayed datagrams change nothing.
+bool view::is_in_order(record& it, const heartbeat& beat) const {
+    if (!it.last_heard)
+        return true;
+    if (beat.incarnation == it.last.incarnation)
+        return beat.sequence > it.last.sequence;
+    if (std::find(it.replaced.begin(), it.replaced.end(), beat.incarnation) != it.replaced.end())
+        return false;
+    it.replaced.push_back(it.last.incarnation);
+    if (it.replaced.size() > kept_replaced)
+        it.replaced.erase(it.replaced.begin());
+    it.last_heard.reset();
+    it.beats_to_return = 0;
+    it.idle.clear();
+    it.demand.clear();
+    return true;
+}
+
+void view::note_silence(record& it, common::time_point now) const {
+    if (it.beats_to_return > 0)
+        it.beats_to_return--;
+    if (!it.last_heard || now - *it.last_heard <= silence_limit(it))
+        return;
+    if (now - it.last_flap > flap_window)
+        it.flaps = 0;
+    it.beats_to_return = first_beats_to_return << std::min(it.flaps, most_doublings);
+    it.flaps++;
+    it.last_flap = now;
+}
+
+void view::remember(const std::vector<succession>& successions) {
+    for (const auto& it : successions) {
+        const auto known = std::find_if(m_successions.begin(), m_successions.end(),
+                                        [&](const auto& other) { return other.old == it.old; });
+        if (known != m_successions.end())
+            continue;
+        m_successions.push_back(it);
+        if (m_successions.size() > kept_successions)
+            m_successions.erase(m_successions.begin());
+    }
+}
+
+common::milliseconds view::silence_limit(const record& it) const {
+    return it.vm.failure_domain == m_self.failure_domain ? m_limits.suspect_after
+                                                         : m_limits.suspect_other_after;
+}
+
+liveness view::judge(const record& it, common::time_point now) const {
+    if (it.vm.state != vm_state::live)
+        return liveness::leaving;
+    if (it.last_heard && it.last.state != entry_state::serving)
+        return liveness::leaving;
+    if (it.beats_to_return > 0)
+        return liveness::suspected;
+    const auto since = it.last_heard.value_or(it.listed_since);
+    return now - since <= silence_limit(it) ? liveness::live : liveness::suspected;
+}
+
+peer_status view::status(const record& it, common::time_point now) const {
+    peer_status value;
+    value.name = it.vm.name;
+    value.number = submission::vm_number(it.vm.name);
+    value.failure_domain = it.vm.failure_domain;
+    value.region = it.vm.region;
+    value.address = *it.vm.address;
+    value.state = judge(it, now);
+    value.last_heard = it.last_heard;
+    value.last = it.last;
+    return value;
+}
+
+std::optional<peer_status> view::find(const std::string& name, common::time_point now) const {
+    const std::lock_guard lock(m_mutex);
+    const auto it = m_records.find(submission::vm_number(name));
+    return it == m_records.end() ? std::nullopt : std::optional(status(it->second, now));
+}
+
+std::vector<peer_status> view::peers(common::time_point now) const {
+    std::vector<peer_status> values;
+    {
+        const std::lock_guard lock(m_mutex);
+        for (const auto& [number, it] : m_records)
+            values.push_back(status(it, now));
+    }
+    std::sort(values.begin(), values.end(),
+              [](const auto& a, const auto& b) { return a.name < b.name; });
+    return values;
+}
+
+std::vector<std::string> view::live_entries(const std::string& failure_domain,
+                                            common::time_point now) const {
+    std::vector<std::string> names;
+    if (failure_domain == m_self.failure_domain)
+        names.push_back(m_self.name);
+    const std::lock_guard lock(m_mutex);
+    for (const auto& [number, it] : m_records) {
+        if (it.vm.failure_domain == failure_domain && judge(it, now) == liveness::live)
+            names.push_back(it.vm.name);
+    }
+    std::sort(names.begin(), names.end());
+    return names;
+}
+
+bool view::is_orphaned(const std::string& failure_domain, common::time_point now) const {
+    const std::lock_guard lock(m_mutex);
+    if (failure_domain == m_self.failure_domain || !m_is_list_known)
+        return false;
+    return std::none_of(m_records.begin(), m_records.end(), [&](const auto& element) {
+        const auto& it = element.second;
+        if (it.vm.failure_domain != failure_domain || judge(it, now) == liveness::leaving)
+            return false;
+        return now - it.last_heard.value_or(it.listed_since) <= m_limits.orphan_after;
+    });
+}
+
+std::vector<idle_slots> view::idle(std::uint32_t upstream, common::milliseconds newest,
+                                   common::time_point now) const {
+    std::vector<idle_slots> values;
+    const std::lock_guard lock(m_mutex);
+    for (const auto& [number, it] : m_records) {
+        const auto told = it.idle.find(upstream);
+        if (told == it.idle.end() || now - told->second.at > newest ||
+            judge(it, now) != liveness::live)
+            continue;
+        values.push_back({it.vm.name, upstream, told->second.value});
+    }
+    std::sort(values.begin(), values.end(),
+              [](const auto& a, const auto& b) { return a.vm < b.vm; });
+    return values;
+}
+
+std::vector<fleet_demand> view::demand(common::milliseconds newest, common::time_point now) const {
+    std::vector<fleet_demand> values;
+    const std::lock_guard lock(m_mutex);
+    for (const auto& [number, it] : m_records) {
+        if (judge(it, now) == liveness::leaving)
+            continue;
+        for (const auto& [team, told] : it.demand) {
+            if (now - told.at <= newest)
+                values.push_back({it.vm.name, team, told.value});
+        }
+    }
+    std::sort(values.begin(), values.end(), [](const auto& a, const auto& b) {
+        return std::tie(a.vm, a.team) < std::tie(b.vm, b.team);
+    });
+    return values;
+}
+
+std::optional<succession> view::heir_of(const submission::incarnation& old) const {
+    const std::lock_guard lock(m_mutex);
+    const auto it = std::find_if(m_successions.begin(), m_successions.end(),
+                                 [&](const auto& known) { return known.old == old; });
+    return it == m_successions.end() ? std::nullopt : std::optional(*it);
+}
+
+std::size_t view::listed_entries() const {
+    const std::lock_guard lock(m_mutex);
+    const auto n = std::count_if(m_records.begin(), m_records.end(), [](const auto& element) {
+        return element.second.vm.state == vm_state::live;
+    });
+    return static_cast<std::size_t>(n) + (m_is_self_listed ? 1 : 0);
+}
+
+} // namespace savorytrail::membership
