--- a/source/core/membership/directory.cpp
+++ b/source/core/membership/directory.cpp
@@ -138,8 +138,8 @@
     std::vector<vm> entries;
     const std::lock_guard lock(m_mutex);
     for (const auto& [name, it] : m_vms) {
-        if (it.role == vm_role::entry && it.state == vm_state::live)
-            entries.push_back(it);
+        if (it.vm.role == vm_role::entry && it.vm.state == vm_state::live)
+            entries.push_back(it.vm);
     }
     return entries;
 }
--- a/source/core/membership/heartbeat.cpp
+++ b/source/core/membership/heartbeat.cpp
@@ -9,7 +9,6 @@
 namespace {
 
 constexpr std::uint32_t heartbeat_magic = 0x53561001;
-constexpr std::size_t successions_per_datagram = 1;
 constexpr std::size_t idle_per_datagram = 2;
 constexpr std::size_t demands_per_datagram = 8;
 
@@ -34,14 +33,6 @@
         element->set_team(it.team);
         element->set_tasks_per_second(it.tasks_per_second);
     }
-    for (const auto& it : value.successions) {
-        auto* element = out.add_heirs();
-        element->set_old_high(it.old.high);
-        element->set_old_low(it.old.low);
-        element->set_heir_high(it.heir.high);
-        element->set_heir_low(it.heir.low);
-        element->set_heir_vm(it.heir_vm);
-    }
     return out;
 }
 
@@ -58,9 +49,6 @@
         value.idle.push_back({it.upstream(), it.slots()});
     for (const auto& it : message.demand())
         value.demand.push_back({it.team(), it.tasks_per_second()});
-    for (const auto& it : message.heirs())
-        value.successions.push_back(
-            {{it.old_high(), it.old_low()}, {it.heir_high(), it.heir_low()}, it.heir_vm()});
     return value;
 }
 
@@ -105,8 +93,6 @@
     heartbeat it = full;
     it.idle.clear();
     it.demand.clear();
-    it.successions.clear();
-    take_turns(full.successions, it.successions, m_next_succession, successions_per_datagram, it);
     take_turns(full.idle, it.idle, m_next_idle, idle_per_datagram, it);
     take_turns(full.demand, it.demand, m_next_demand, demands_per_datagram, it);
     return it;
--- a/source/core/membership/heartbeat.h
+++ b/source/core/membership/heartbeat.h
@@ -32,15 +32,6 @@
     bool operator==(const team_demand&) const = default;
 };
 
-// The submissions of `old` were handed over to `heir`, which runs on the VM of that number.
-struct succession {
-    submission::incarnation old;
-    submission::incarnation heir;
-    std::uint32_t heir_vm = 0;
-
-    bool operator==(const succession&) const = default;
-};
-
 struct heartbeat {
     std::uint32_t vm = 0; // submission::vm_number() of the sender
     submission::incarnation incarnation;
@@ -51,7 +42,6 @@
     bool platform_reachable = true; // the sender's last read of the platform succeeded
     std::vector<upstream_slots> idle;
     std::vector<team_demand> demand;
-    std::vector<succession> successions;
 
     bool operator==(const heartbeat&) const = default;
 };
@@ -71,7 +61,6 @@
     heartbeat next(const heartbeat& full);
 
 private:
-    std::size_t m_next_succession = 0;
     std::size_t m_next_idle = 0;
     std::size_t m_next_demand = 0;
 };
--- a/source/core/membership/view.cpp
+++ b/source/core/membership/view.cpp
@@ -10,7 +10,6 @@
 using platform::vm_state;
 
 constexpr std::size_t kept_replaced = 4;
-constexpr std::size_t kept_successions = 256;
 constexpr std::size_t kept_told = 1024; // upstreams or teams of one entry
 constexpr common::milliseconds flap_window{300000};
 constexpr int first_beats_to_return = 2;
@@ -62,7 +61,6 @@
         if (known.demand.size() < kept_told || known.demand.contains(told.team))
             known.demand[told.team] = {told.tasks_per_second, now};
     }
-    remember(it.successions);
     return true;
 }
 
@@ -96,18 +94,6 @@
     it.last_flap = now;
 }
 
-void view::remember(const std::vector<succession>& successions) {
-    for (const auto& it : successions) {
-        const auto known = std::find_if(m_successions.begin(), m_successions.end(),
-                                        [&](const auto& other) { return other.old == it.old; });
-        if (known != m_successions.end())
-            continue;
-        m_successions.push_back(it);
-        if (m_successions.size() > kept_successions)
-            m_successions.erase(m_successions.begin());
-    }
-}
-
 common::milliseconds view::silence_limit(const record& it) const {
     return it.vm.failure_domain == m_self.failure_domain ? m_limits.suspect_after
                                                          : m_limits.suspect_other_after;
@@ -214,13 +200,6 @@
     return values;
 }
 
-std::optional<succession> view::heir_of(const submission::incarnation& old) const {
-    const std::lock_guard lock(m_mutex);
-    const auto it = std::find_if(m_successions.begin(), m_successions.end(),
-                                 [&](const auto& known) { return known.old == old; });
-    return it == m_successions.end() ? std::nullopt : std::optional(*it);
-}
-
 std::size_t view::listed_entries() const {
     const std::lock_guard lock(m_mutex);
     const auto n = std::count_if(m_records.begin(), m_records.end(), [](const auto& element) {
--- a/source/core/membership/view.h
+++ b/source/core/membership/view.h
@@ -97,8 +97,6 @@
     std::vector<idle_slots> idle(std::uint32_t upstream, common::milliseconds newest,
                                  common::time_point now) const;
     std::vector<fleet_demand> demand(common::milliseconds newest, common::time_point now) const;
-    // The heir of an incarnation, if one was announced.
-    std::optional<succession> heir_of(const submission::incarnation& old) const;
 
     // Entries that the live list names as live, this one included: the fleet's full size.
     std::size_t listed_entries() const;
@@ -130,7 +128,6 @@
     liveness judge(const record& it, common::time_point now) const;
     bool is_in_order(record& it, const heartbeat& beat) const;
     void note_silence(record& it, common::time_point now) const;
-    void remember(const std::vector<succession>& successions);
     peer_status status(const record& it, common::time_point now) const;
 
     const node m_self;
@@ -139,7 +136,6 @@
     absl::flat_hash_map<std::uint32_t, record> m_records; // by VM number, without this entry
     bool m_is_list_known = false;
     bool m_is_self_listed = false;
-    std::vector<succession> m_successions; // the latest last
 };
 
 } // namespace savorytrail::membership
--- /dev/null
+++ b/source/core/propagation/reader_choice.cpp
@@ -0,0 +1,24 @@
+// The choice of the reader.
+#include "core/propagation/reader_choice.h"
+
+#include "core/common/rendezvous.h"
+
+namespace savorytrail::propagation {
+
+std::optional<common::milliseconds> read_period(const std::string& failure_domain,
+                                                const std::string& self,
+                                                const std::vector<reader_candidate>& candidates,
+                                                common::milliseconds poll) {
+    std::vector<std::string> reaching;
+    for (const auto& it : candidates) {
+        if (it.platform_reachable)
+            reaching.push_back(it.name);
+        else if (it.name == self)
+            return poll * candidates.size();
+    }
+    if (common::rendezvous_choice(failure_domain, reaching) == self)
+        return poll;
+    return std::nullopt;
+}
+
+} // namespace savorytrail::propagation
--- /dev/null
+++ b/source/core/propagation/service.h
@@ -0,0 +1,18 @@
+// The service by which entries pass the configuration and the live list on to one another.
+#pragma once
+
+#include <memory>
+
+#include "core/configuration/holder.h"
+#include "core/membership/directory.h"
+
+namespace grpc {
+class Service;
+}
+
+namespace savorytrail::propagation {
+
+std::unique_ptr<grpc::Service> make_service(const configuration::holder& configuration,
+                                            const membership::directory& directory);
+
+} // namespace savorytrail::propagation
