--- a/source/core/entry/entry.cpp
+++ b/source/core/entry/entry.cpp
@@ -6,10 +6,10 @@
 #include <nlohmann/json.hpp>
 
 #include "absl/strings/str_cat.h"
-#include "core/configuration/record.h"
 #include "core/entry/shares.h"
 #include "core/handover/hand_over.h"
 #include "core/handover/service.h"
+#include "core/propagation/service.h"
 #include "core/telemetry/log.h"
 
 namespace savorytrail::entry {
@@ -19,6 +19,7 @@
 using telemetry::severity;
 
 constexpr common::milliseconds tick_period{20};
+constexpr common::milliseconds share_period{100};
 constexpr common::milliseconds drain_step{10};
 constexpr int claim_calls = 2; // to the table: a commit, and reading back
 constexpr common::milliseconds peer_stop_grace{500};
@@ -49,6 +50,36 @@
             ms(settings.platform().call_timeout_ms()), settings.node().name()};
 }
 
+// Entries of other failure domains send a heartbeat only now and then.
+constexpr int rounds_until_orphaned = 15;
+constexpr int rounds_until_other_suspected = 60;
+
+membership::view_limits make_view_limits(const schema::entry_settings& settings) {
+    membership::view_limits limits;
+    limits.heartbeat = ms(settings.peers().heartbeat_ms());
+    limits.suspect_after = ms(settings.peers().suspect_after_ms());
+    limits.orphan_after = rounds_until_orphaned * limits.heartbeat;
+    limits.suspect_other_after = rounds_until_other_suspected * limits.heartbeat;
+    return limits;
+}
+
+membership::node make_node(const schema::entry_settings& settings) {
+    const auto& node = settings.node();
+    return {node.name(), node.failure_domain(), node.region()};
+}
+
+propagation::follower_options make_follower_options(const schema::entry_settings& settings,
+                                                    const submission::incarnation& self) {
+    propagation::follower_options options;
+    options.self = self;
+    options.listen = endpoint_of(settings.peers().listen());
+    options.poll = ms(settings.platform().poll_ms());
+    options.call_timeout = ms(settings.peers().call_timeout_ms());
+    for (const auto& it : settings.peers().seeds())
+        options.seeds.push_back(endpoint_of(it.address()));
+    return options;
+}
+
 } // namespace
 
 entry::entry(const schema::entry_settings& settings)
@@ -65,35 +96,50 @@
       m_home(m_ids, m_ledger, m_dispatcher, m_clock, {},
              [this](home::outgoing_task task) { m_requester.send(std::move(task)); }),
       m_platform(make_platform_options(settings)),
+      m_view(make_node(settings), make_view_limits(settings)),
       m_peers(m_channels, ms(settings.peers().call_timeout_ms())), m_heirs(m_platform, m_clock),
       m_inherited(m_clock, {settings.submissions().max_kept_bytes()}),
       m_handover(m_channels, ms(settings.peers().call_timeout_ms())),
       m_home_handler(m_home, m_ids, m_inherited),
       m_forward_service(peer::make_forward_service(m_home_handler)),
       m_handover_service(handover::make_service(m_inherited, m_heirs, m_ids.self())),
+      m_membership_service(propagation::make_service(m_configuration, m_directory)),
       m_router(settings.node().name(), m_home_handler, m_peers, m_directory, m_heirs),
       m_claimer(m_platform, m_clock, {}),
       m_keyed(m_ids, m_claimer, m_router, claim_calls * ms(settings.platform().call_timeout_ms())),
       m_front(make_front_limits(settings), m_ids, m_router, m_keyed,
               {[this] { return is_ready(); }, [this] { return status_json(); },
-               [this] { return metrics_text(); }}) {}
+               [this] { return metrics_text(); }}),
+      m_follower(
+          make_follower_options(settings, m_ids.self()),
+          {m_platform, m_platform, m_channels, m_configuration, m_directory, m_view, m_clock},
+          [this](membership::heartbeat& it) { add_idle_slots(it); }) {
+    m_configuration.subscribe([this](const configuration::holder::pointer& it) {
+        m_home.apply(std::shared_ptr<const manifest::manifest>(it, &it->value));
+        log_line(severity::info, "configuration_in_force")
+            .field("version", static_cast<std::int64_t>(it->version));
+    });
+}
 
 entry::~entry() {
     m_threads_stop = true;
-    if (m_follower.joinable())
-        m_follower.join();
+    if (m_share_keeper.joinable())
+        m_share_keeper.join();
     if (m_ticker.joinable())
         m_ticker.join();
     m_requester.shut_down();
 }
 
 std::error_code entry::start() {
-    if (const auto ec = m_peer_server.start(endpoint_of(m_settings.peers().listen()),
-                                            {m_forward_service.get(), m_handover_service.get()}))
+    if (const auto ec = m_peer_server.start(
+            endpoint_of(m_settings.peers().listen()),
+            {m_forward_service.get(), m_handover_service.get(), m_membership_service.get()}))
         return ec;
     if (const auto ec = m_front.start(endpoint_of(m_settings.callers().listen())))
         return ec;
-    m_follower = std::thread([this] { follow_platform(); });
+    if (const auto ec = m_follower.start())
+        return ec;
+    m_share_keeper = std::thread([this] { keep_shares(); });
     m_ticker = std::thread([this] { run_ticks(); });
     log_line(severity::info, "entry_started")
         .field("incarnation", submission::to_string(m_ids.self()))
@@ -108,6 +154,7 @@
     log_line(severity::info, "stop_begun")
         .field("tasks_in_flight", static_cast<std::int64_t>(m_home.tasks_in_flight()));
     m_is_stopping = true;
+    m_follower.announce(membership::entry_state::stopping);
     m_front.stop_issuing();
     m_home.stop_admitting();
     while (m_home.open_submissions() > 0 || m_home.tasks_in_flight() > 0) {
@@ -118,6 +165,7 @@
     hand_over_submissions();
     const bool is_clean = m_front.drain(peer_stop_grace) && m_home.tasks_in_flight() == 0;
     m_peer_server.stop(peer_stop_grace);
+    m_follower.announce(membership::entry_state::left);
     log_line(is_clean ? severity::info : severity::warning, "stop_ended")
         .field("tasks_in_flight", static_cast<std::int64_t>(m_home.tasks_in_flight()));
     return is_clean;
@@ -139,46 +187,26 @@
         .field("submissions", static_cast<std::int64_t>(estates.back().records.size()));
 }
 
-void entry::follow_platform() {
-    const auto period = ms(m_settings.platform().poll_ms());
+void entry::keep_shares() {
     while (!m_threads_stop) {
-        const auto begun = m_clock.now();
-        read_configuration();
-        read_live_list();
         refresh_shares();
-        while (!m_threads_stop && m_clock.now() - begun < period)
-            std::this_thread::sleep_for(drain_step);
+        m_requester.close_stale();
+        std::this_thread::sleep_for(share_period);
     }
 }
 
-void entry::read_configuration() {
-    const auto newer = configuration::read_newer(m_platform, m_configuration.version());
-    if (!newer || !newer.value())
-        return;
-    if (!m_configuration.offer(*newer.value()))
-        return;
-    const auto current = m_configuration.current();
-    m_home.apply(std::shared_ptr<const manifest::manifest>(current, &current->value));
-    log_line(severity::info, "configuration_in_force")
-        .field("version", static_cast<std::int64_t>(current->version));
-}
-
-void entry::read_live_list() {
-    const auto changes = m_platform.read_newer(m_list_revision);
-    if (!changes)
-        return;
-    m_list_revision = changes.value().revision;
-    m_directory.update(changes.value());
-}
-
 void entry::refresh_shares() {
     const auto current = m_configuration.current();
     if (!current)
         return;
+    auto basis = make_share_basis(*current, m_directory, m_view, m_clock.now());
+    if (basis == m_share_basis)
+        return;
+    m_share_basis = std::move(basis);
+
     absl::flat_hash_map<std::string, std::vector<dispatch::executor_share>> shares;
     for (const auto& it : current->value.upstreams)
-        shares[it.name] = own_shares(it, m_settings.node().failure_domain(),
-                                     m_settings.node().name(), m_directory);
+        shares[it.name] = own_shares(it, m_share_basis, m_view.self(), m_directory);
     for (const auto& [name, before] : m_shares)
         shares.try_emplace(name); // an upstream that is gone from the manifest keeps no executor
     for (const auto& [name, it] : shares) {
@@ -190,6 +218,20 @@
             .field("executors", static_cast<std::int64_t>(it.size()));
     }
     m_shares = std::move(shares);
+    m_has_shares = true;
+}
+
+void entry::add_idle_slots(membership::heartbeat& it) const {
+    for (const auto& queue : m_dispatcher.status()) {
+        const bool is_idle = queue.queued_tasks == 0 && queue.slots > queue.running_tasks;
+        const auto slots = is_idle ? queue.slots - queue.running_tasks : 0;
+        it.idle.push_back(
+            {membership::name_number(queue.upstream), static_cast<std::uint32_t>(slots)});
+    }
+}
+
+std::vector<std::string> entry::live_entries() const {
+    return m_view.live_entries(m_view.self().failure_domain, m_clock.now());
 }
 
 void entry::run_ticks() {
@@ -203,7 +245,7 @@
 }
 
 bool entry::is_ready() const {
-    return !m_is_stopping && m_configuration.version() > 0;
+    return !m_is_stopping && m_has_shares && m_follower.has_caught_up();
 }
 
 std::string entry::status_json() const {
@@ -215,6 +257,8 @@
                              {"ready", is_ready()},
                              {"stopping", m_is_stopping.load()},
                              {"configuration_version", m_configuration.version()},
+                             {"live_list_revision", m_directory.revision()},
+                             {"live_entries", live_entries()},
                              {"remembered_submissions", remembered.records},
                              {"remembered_bytes", remembered.bytes},
                              {"running_tasks", m_home.tasks_in_flight()}};
--- a/source/core/entry/entry.h
+++ b/source/core/entry/entry.h
@@ -1,5 +1,5 @@
 // One entry VM's process, assembled: callers' server, peers' server, home, dispatcher, and the
-// threads that follow the platform.
+// thread that keeps the shares of the executors.
 #pragma once
 
 #include <atomic>
@@ -16,17 +16,21 @@
 #include "core/common/random.h"
 #include "core/configuration/holder.h"
 #include "core/dispatch/dispatcher.h"
+#include "core/entry/shares.h"
+#include "core/entry/shares.h"
 #include "core/front/front.h"
 #include "core/handover/client.h"
 #include "core/handover/heirs.h"
 #include "core/handover/inheritance.h"
 #include "core/home/home.h"
 #include "core/membership/directory.h"
+#include "core/membership/view.h"
 #include "core/peer/channels.h"
 #include "core/peer/client.h"
 #include "core/peer/forward_service.h"
 #include "core/peer/server.h"
 #include "core/platform/client.h"
+#include "core/propagation/follower.h"
 #include "core/routing/keyed_router.h"
 #include "core/routing/router.h"
 #include "core/submission/issuer.h"
@@ -51,10 +55,10 @@
     bool stop();
 
 private:
-    void follow_platform();
-    void read_configuration();
-    void read_live_list();
+    void keep_shares();
     void refresh_shares();
+    void add_idle_slots(membership::heartbeat& it) const;
+    std::vector<std::string> live_entries() const;
     void hand_over_submissions();
     void run_ticks();
     bool is_ready() const;
@@ -72,6 +76,7 @@
     platform::client m_platform;
     configuration::holder m_configuration;
     membership::directory m_directory;
+    membership::view m_view;
     peer::channels m_channels;
     peer::client m_peers;
     handover::heirs m_heirs;
@@ -80,18 +85,21 @@
     routing::home_handler m_home_handler;
     std::unique_ptr<grpc::Service> m_forward_service;
     std::unique_ptr<grpc::Service> m_handover_service;
+    std::unique_ptr<grpc::Service> m_membership_service;
     peer::server m_peer_server;
     routing::router m_router;
     claim::claimer m_claimer;
     routing::keyed_router m_keyed;
     front::front m_front;
-    std::uint64_t m_list_revision = 0; // used by the follower thread alone
+    propagation::follower m_follower;
     std::atomic<bool> m_is_stopping{false};
+    std::atomic<bool> m_has_shares{false}; // a configuration is in force, and the shares follow it
     std::atomic<bool> m_threads_stop{false};
-    std::thread m_follower;
+    std::thread m_share_keeper;
     std::thread m_ticker;
+    share_basis m_share_basis; // of m_shares; used by the share keeper alone
     absl::flat_hash_map<std::string, std::vector<dispatch::executor_share>>
-        m_shares; // as last handed to the home; used by the follower thread alone
+        m_shares; // as last handed to the home; used by the share keeper alone
 };
 
 } // namespace savorytrail::entry
--- a/source/core/peer/server.cpp
+++ b/source/core/peer/server.cpp
@@ -6,6 +6,11 @@
 #include "core/peer/limits.h"
 
 namespace savorytrail::peer {
+namespace {
+
+constexpr int min_ping_interval_ms = 500;
+
+} // namespace
 
 server::server() = default;
 
@@ -19,6 +24,10 @@
     grpc::ServerBuilder builder;
     builder.SetMaxReceiveMessageSize(max_message_bytes);
     builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
+    // Peers ping connections whose calls are silent; see channels.cpp.
+    builder.AddChannelArgument(GRPC_ARG_HTTP2_MIN_RECV_PING_INTERVAL_WITHOUT_DATA_MS,
+                               min_ping_interval_ms);
+    builder.AddChannelArgument(GRPC_ARG_HTTP2_MAX_PING_STRIKES, 0);
     builder.AddListeningPort(address.to_string(), grpc::InsecureServerCredentials(), &port);
     for (auto* it : services)
         builder.RegisterService(it);
--- a/source/core/propagation/codec.h
+++ b/source/core/propagation/codec.h
@@ -1,4 +1,5 @@
-// Conversion of the live list's changes to and from their message. What a peer sent is checked here.
+// Conversion of the live list's changes to and from their message. What a peer sent is checked
+// here.
 #pragma once
 
 #include <optional>
--- /dev/null
+++ b/source/core/propagation/follower.cpp
@@ -0,0 +1,272 @@
+// The follower's threads: one sends heartbeats, one receives them, one reads the platform, whose
+// calls may hang for their whole timeout, and one fetches from peers.
+#include "core/propagation/follower.h"
+
+#include <algorithm>
+
+#include "core/configuration/record.h"
+#include "core/membership/targets.h"
+#include "core/propagation/reader_choice.h"
+#include "core/telemetry/log.h"
+
+namespace savorytrail::propagation {
+namespace {
+
+using common::milliseconds;
+using membership::peer_status;
+using telemetry::log_line;
+using telemetry::severity;
+
+constexpr milliseconds step{50};      // of the threads' periods
+constexpr std::size_t most_asked = 8; // entries in one round of questions
+
+} // namespace
+
+follower::follower(follower_options options, follower_parts parts, contribute add)
+    : m_options(std::move(options)), m_parts(parts), m_add(std::move(add)),
+      m_started(parts.clock.now()), m_client(parts.channels, m_options.call_timeout),
+      m_last_heard(m_started), m_turn(m_options.self.low) {}
+
+follower::~follower() {
+    {
+        const std::lock_guard lock(m_mutex);
+        m_is_stopping = true;
+        m_changed.notify_all();
+    }
+    for (auto& it : m_threads)
+        it.join();
+}
+
+std::error_code follower::start() {
+    if (const auto ec = m_socket.bind(m_options.listen))
+        return ec;
+    m_threads.emplace_back([this] { send_heartbeats(); });
+    m_threads.emplace_back([this] { receive_heartbeats(); });
+    m_threads.emplace_back([this] { read_platform(); });
+    m_threads.emplace_back([this] { fetch_from_peers(); });
+    return {};
+}
+
+void follower::announce(membership::entry_state state) {
+    m_state = state;
+    send_round();
+}
+
+void follower::send_heartbeats() {
+    do
+        send_round();
+    while (sleep(m_parts.view.limits().heartbeat));
+}
+
+void follower::send_round() {
+    membership::heartbeat full;
+    full.vm = submission::vm_number(m_parts.view.self().name);
+    full.incarnation = m_options.self;
+    full.state = m_state;
+    full.configuration_version = m_parts.configuration.version();
+    full.list_revision = m_parts.directory.revision();
+    full.platform_reachable = m_platform_reachable;
+    m_add(full);
+
+    const auto peers = m_parts.view.peers(m_parts.clock.now());
+    const std::lock_guard lock(m_round_mutex);
+    full.sequence = ++m_sequence;
+    const auto datagram = encode(m_composer.next(full));
+    for (const auto& it : heartbeat_targets(m_parts.view.self(), peers, m_round++))
+        m_socket.send(it.address, datagram);
+}
+
+void follower::receive_heartbeats() {
+    for (;;) {
+        {
+            const std::lock_guard lock(m_mutex);
+            if (m_is_stopping)
+                return;
+        }
+        const auto datagram = m_socket.receive(step);
+        const auto it = datagram ? membership::decode(*datagram) : std::nullopt;
+        const auto now = m_parts.clock.now();
+        if (!it || !m_parts.view.hear(*it, now))
+            continue;
+        m_last_heard = now;
+        if (it->configuration_version > m_parts.configuration.version() ||
+            it->list_revision > m_parts.directory.revision())
+            wake_up();
+    }
+}
+
+void follower::read_platform() {
+    auto last = common::time_point::min();
+    do {
+        if (!is_read_due(last))
+            continue;
+        last = m_parts.clock.now();
+        const auto version = m_parts.configuration.version();
+        const auto revision = m_parts.directory.revision();
+        const bool has_list = read_live_list();
+        const bool has_configuration = read_configuration();
+        if (has_configuration)
+            m_has_caught_up = true;
+        m_platform_reachable = has_list && has_configuration;
+        if (m_parts.configuration.version() != version || m_parts.directory.revision() != revision)
+            send_round(); // the others learn of it without waiting for the next round
+    } while (sleep(step));
+}
+
+bool follower::is_read_due(common::time_point last) const {
+    if (last == common::time_point::min())
+        return true;
+    auto period = read_period(m_parts.view.self().failure_domain, m_parts.view.self().name,
+                              candidates(), m_options.poll);
+    // The address of an entry that a peer told of is read once by this entry itself.
+    if (!period && m_parts.directory.needs_own_read())
+        period = m_options.poll;
+    return period && m_parts.clock.now() - last >= *period;
+}
+
+std::vector<reader_candidate> follower::candidates() const {
+    const auto& self = m_parts.view.self();
+    std::vector<reader_candidate> values{{self.name, m_platform_reachable}};
+    for (const auto& it : m_parts.view.peers(m_parts.clock.now())) {
+        if (it.failure_domain == self.failure_domain && it.state == membership::liveness::live)
+            values.push_back({it.name, !it.last_heard || it.last.platform_reachable});
+    }
+    return values;
+}
+
+bool follower::read_configuration() {
+    auto newer = configuration::read_newer(m_parts.table, m_parts.configuration.version());
+    // Before the first apply there is no row, and a row of a later program may not be readable.
+    if (!newer)
+        return newer.error() == common::error::not_found ||
+               newer.error() == common::error::malformed;
+    if (newer.value())
+        m_parts.configuration.offer(std::move(*newer.value()));
+    return true;
+}
+
+bool follower::read_live_list() {
+    const auto changes = m_parts.list.read_newer(m_parts.directory.own_revision());
+    if (!changes)
+        return false;
+    if (changes.value().revision > m_parts.directory.own_revision()) {
+        m_parts.directory.update(changes.value());
+        update_view();
+    }
+    return true;
+}
+
+void follower::update_view() {
+    const std::lock_guard lock(m_view_mutex);
+    m_parts.view.update(m_parts.directory.entries(), m_parts.clock.now());
+}
+
+void follower::fetch_from_peers() {
+    auto last_asked = common::time_point::min();
+    for (;;) {
+        {
+            std::unique_lock lock(m_mutex);
+            m_changed.wait_for(lock, m_options.poll,
+                               [this] { return m_is_stopping || m_is_fetch_due; });
+            if (m_is_stopping)
+                return;
+            m_is_fetch_due = false;
+        }
+        fetch_newer();
+        const auto now = m_parts.clock.now();
+        if (is_unheard() &&
+            (last_asked == common::time_point::min() || now - last_asked >= m_options.poll)) {
+            last_asked = now;
+            ask_known_entries();
+        }
+    }
+}
+
+// Fetches from one peer after another until this entry has what the newest of them announced.
+void follower::fetch_newer() {
+    for (const auto& it : peers_in_turn()) {
+        if (it.last.list_revision > m_parts.directory.revision())
+            fetch_live_list(it.address);
+        if (it.last.configuration_version > m_parts.configuration.version())
+            fetch_configuration(it.address);
+    }
+}
+
+// The peers that were heard of, from another place each time, so that the load is spread.
+std::vector<peer_status> follower::peers_in_turn() {
+    auto peers = m_parts.view.peers(m_parts.clock.now());
+    std::erase_if(peers, [](const auto& it) { return !it.last_heard; });
+    if (!peers.empty())
+        std::rotate(peers.begin(),
+                    peers.begin() + static_cast<std::ptrdiff_t>(m_turn++ % peers.size()),
+                    peers.end());
+    const auto is_near = [&](const auto& it) {
+        return it.failure_domain == m_parts.view.self().failure_domain;
+    };
+    std::stable_partition(peers.begin(), peers.end(), is_near);
+    return peers;
+}
+
+bool follower::fetch_configuration(const common::endpoint& from) {
+    auto newer = m_client.fetch_configuration(from, m_parts.configuration.version());
+    if (!newer)
+        return false;
+    if (newer.value() && m_parts.configuration.offer(std::move(*newer.value())))
+        send_round();
+    return true;
+}
+
+bool follower::fetch_live_list(const common::endpoint& from) {
+    const auto changes = m_client.fetch_live_list(from, m_parts.directory.revision());
+    if (!changes)
+        return false;
+    if (changes.value().revision > m_parts.directory.revision()) {
+        m_parts.directory.update_from_peer(changes.value());
+        update_view();
+        send_round();
+    }
+    return true;
+}
+
+// Whether this entry has neither the platform nor heartbeats to learn from: at its start during an
+// outage, and as long as the others' live list does not name it.
+bool follower::is_unheard() const {
+    if (m_platform_reachable)
+        return false;
+    return !m_has_caught_up ||
+           m_parts.clock.now() - m_last_heard.load() > m_parts.view.limits().suspect_after;
+}
+
+// Takes the highest version of the entries that answer. Those named first are asked first.
+void follower::ask_known_entries() {
+    bool has_answer = false;
+    for (const auto& it : known_entries()) {
+        if (fetch_live_list(it))
+            has_answer = fetch_configuration(it) || has_answer;
+    }
+    if (has_answer && m_parts.configuration.version() > 0)
+        m_has_caught_up = true;
+}
+
+std::vector<common::endpoint> follower::known_entries() const {
+    std::vector<common::endpoint> values = m_options.seeds;
+    for (const auto& it : m_parts.view.peers(m_parts.clock.now()))
+        values.push_back(it.address);
+    std::erase(values, m_options.listen);
+    if (values.size() > most_asked)
+        values.resize(most_asked);
+    return values;
+}
+
+bool follower::sleep(milliseconds time) {
+    std::unique_lock lock(m_mutex);
+    return !m_changed.wait_for(lock, time, [this] { return m_is_stopping; });
+}
+
+void follower::wake_up() {
+    const std::lock_guard lock(m_mutex);
+    m_is_fetch_due = true;
+    m_changed.notify_all();
+}
+
+} // namespace savorytrail::propagation
--- a/source/core/propagation/reader_choice.cpp
+++ b/source/core/propagation/reader_choice.cpp
@@ -1,7 +1,7 @@
 // The choice of the reader.
 #include "core/propagation/reader_choice.h"
 
-#include "core/common/rendezvous.h"
+#include "core/dispatch/partition.h"
 
 namespace savorytrail::propagation {
 
@@ -16,7 +16,7 @@
         else if (it.name == self)
             return poll * candidates.size();
     }
-    if (common::rendezvous_choice(failure_domain, reaching) == self)
+    if (dispatch::owner_of("reader of " + failure_domain, reaching) == self)
         return poll;
     return std::nullopt;
 }
--- a/source/stand_ins/cluster/cluster.cpp
+++ b/source/stand_ins/cluster/cluster.cpp
@@ -127,8 +127,15 @@
 }
 
 std::error_code cluster::start_entry(std::size_t entry) {
+    return start_entry(entry, {});
+}
+
+std::error_code cluster::start_entry(std::size_t entry,
+                                     const std::map<std::string, std::string>& settings) {
     const auto& it = m_entries.at(entry);
-    const auto file = write_file(it.name + ".toml", settings_text(it, m_plan.settings));
+    auto all = settings;
+    all.insert(m_plan.settings.begin(), m_plan.settings.end());
+    const auto file = write_file(it.name + ".toml", settings_text(it, all));
     auto& child = m_entry_processes[entry];
     if (const auto ec = spawn(child, it.name, "savory-entry", {"--settings", file}))
         return ec;
--- a/source/stand_ins/cluster/cluster.h
+++ b/source/stand_ins/cluster/cluster.h
@@ -56,6 +56,9 @@
 
     // Starts an entry's process, also again after it has ended.
     std::error_code start_entry(std::size_t entry);
+    // The same with settings besides those of the plan.
+    std::error_code start_entry(std::size_t entry,
+                                const std::map<std::string, std::string>& settings);
     std::error_code start_executor(std::size_t index);
     bool wait_until_ready(std::size_t entry, std::chrono::milliseconds bound);
 
--- /dev/null
+++ b/source/unit_tests/propagation/reader_choice_test.cpp
@@ -0,0 +1,62 @@
+// Tests of the choice of the reader.
+#include "core/propagation/reader_choice.h"
+
+#include <gtest/gtest.h>
+
+namespace savorytrail::propagation {
+namespace {
+
+constexpr common::milliseconds poll{1000};
+
+struct domain_state {
+    const char* name;
+    std::vector<bool> reachable; // the platform, by each entry
+    int readers;                 // entries that read once in each poll
+};
+
+class reading : public testing::TestWithParam<domain_state> {
+protected:
+    std::vector<reader_candidate> candidates() const {
+        std::vector<reader_candidate> values;
+        for (const bool is_reachable : GetParam().reachable)
+            values.push_back({"entry-" + std::to_string(values.size()), is_reachable});
+        return values;
+    }
+};
+
+TEST_P(reading, has_one_reader_that_reaches_the_platform_and_bounded_tries) {
+    int readers = 0;
+    double rounds = 0; // in each poll
+    for (const auto& self : candidates()) {
+        const auto period = read_period("zilina", self.name, candidates(), poll);
+        // One that does not reach it must find out when it is back.
+        EXPECT_TRUE(self.platform_reachable || period);
+        if (!period)
+            continue;
+        readers += self.platform_reachable ? 1 : 0;
+        rounds += double(poll.count()) / double(period->count());
+    }
+    EXPECT_EQ(readers, GetParam().readers);
+    EXPECT_GT(rounds, 0);
+    EXPECT_LE(rounds, 2);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    table, reading,
+    testing::Values(domain_state{"alone", {true}, 1}, domain_state{"alone_cut_off", {false}, 0},
+                    domain_state{"all_reach_it", {true, true, true, true, true, true, true}, 1},
+                    domain_state{"some_reach_it", {false, true, false, true, false}, 1},
+                    domain_state{"none_reaches_it", {false, false, false, false, false}, 0}),
+    [](const auto& param) { return param.param.name; });
+
+TEST(reader, is_spread_over_entries_by_domain) {
+    const std::vector<reader_candidate> entries{{"a"}, {"b"}, {"c"}};
+    int n = 0;
+    for (int i = 0; i < 100; i++)
+        n += read_period("domain-" + std::to_string(i), "a", entries, poll) ? 1 : 0;
+    EXPECT_GT(n, 15);
+    EXPECT_LT(n, 55);
+}
+
+} // namespace
+} // namespace savorytrail::propagation
