--- a/source/core/entry/entry.h
+++ b/source/core/entry/entry.h
@@ -17,7 +17,6 @@
 #include "core/configuration/holder.h"
 #include "core/dispatch/dispatcher.h"
 #include "core/entry/shares.h"
-#include "core/entry/shares.h"
 #include "core/front/front.h"
 #include "core/handover/client.h"
 #include "core/handover/heirs.h"
--- a/source/core/propagation/reader_choice.h
+++ b/source/core/propagation/reader_choice.h
@@ -18,9 +18,9 @@
 
 // The time between this entry's reads; nullopt when another entry reads. `candidates` are the live
 // entries of the failure domain, this one included. The one reader is chosen by rendezvous hashing
-// among those that reach the platform. An entry that does not reach it goes on trying at a rate that
-// keeps all such entries together at one read in each `poll`, so that a domain never reads more than
-// twice in each `poll`.
+// among those that reach the platform. An entry that does not reach it goes on trying at a rate
+// that keeps all such entries together at one read in each `poll`, so that a domain never reads
+// more than twice in each `poll`.
 std::optional<common::milliseconds> read_period(const std::string& failure_domain,
                                                 const std::string& self,
                                                 const std::vector<reader_candidate>& candidates,
--- a/source/integration_tests/propagation_failures_test.cpp
+++ b/source/integration_tests/propagation_failures_test.cpp
@@ -17,12 +17,13 @@
 constexpr milliseconds leaving_bound{5000};
 constexpr milliseconds process_bound{30000};
 constexpr std::size_t slots = 8; // of an executor
-constexpr std::size_t zilina_executors = 6;
-constexpr std::size_t banska_executors = 4;
+constexpr std::size_t kiruna_executors = 6;
+constexpr std::size_t lulea_executors = 4;
 
 stand_ins::cluster_plan two_domains() {
     stand_ins::cluster_plan plan;
-    plan.domains = {{"zilina", 2, zilina_executors}, {"banska", 2, banska_executors}};
+    plan.region = "norrbotten";
+    plan.domains = {{"kiruna-a", 2, kiruna_executors}, {"lulea", 2, lulea_executors}};
     return plan;
 }
 
@@ -103,7 +104,7 @@
                                          public testing::WithParamInterface<cut> {};
 
 TEST_P(domain_cut_off_from_the_platform, has_a_configuration_in_force_within_the_bound) {
-    ASSERT_FALSE(m_cluster.set_fault_to_platform("zilina", {.mode = GetParam().mode}));
+    ASSERT_FALSE(m_cluster.set_fault_to_platform("kiruna-a", {.mode = GetParam().mode}));
     for (std::uint64_t change = 2; change < 5; change++) {
         const auto limit = "max_tasks_per_second = " + std::to_string(change * 1000);
         ASSERT_EQ(m_cluster.apply(manifest_with(limit)), EXIT_SUCCESS);
@@ -114,7 +115,7 @@
 TEST_P(domain_cut_off_from_the_platform, gives_a_leaving_upstream_nothing_new) {
     load_first_domain();
     ASSERT_GT(starts_at(0), 0U);
-    ASSERT_FALSE(m_cluster.set_fault_to_platform("zilina", {.mode = GetParam().mode}));
+    ASSERT_FALSE(m_cluster.set_fault_to_platform("kiruna-a", {.mode = GetParam().mode}));
     ASSERT_FALSE(m_cluster.set_executor_state(0, "leaving"));
     std::this_thread::sleep_for(leaving_bound);
     const auto before = starts_at(0);
@@ -125,7 +126,7 @@
 TEST_P(domain_cut_off_from_the_platform, gives_an_executor_removed_from_the_manifest_nothing_new) {
     load_first_domain();
     ASSERT_GT(starts_at(1), 0U);
-    ASSERT_FALSE(m_cluster.set_fault_to_platform("zilina", {.mode = GetParam().mode}));
+    ASSERT_FALSE(m_cluster.set_fault_to_platform("kiruna-a", {.mode = GetParam().mode}));
     ASSERT_EQ(m_cluster.apply(manifest_without(1)), EXIT_SUCCESS);
     std::this_thread::sleep_for(leaving_bound);
     const auto before = starts_at(1);
@@ -160,24 +161,24 @@
 }
 
 TEST_F(propagation_failures, a_frozen_entry_s_executors_go_to_the_other_one_and_back) {
-    EXPECT_EQ(slots_of(0) + slots_of(1), zilina_executors * slots);
+    EXPECT_EQ(slots_of(0) + slots_of(1), kiruna_executors * slots);
     m_cluster.entry_process(0).send_signal(SIGSTOP);
-    EXPECT_TRUE(stand_ins::wait_until([&] { return slots_of(1) == zilina_executors * slots; },
+    EXPECT_TRUE(stand_ins::wait_until([&] { return slots_of(1) == kiruna_executors * slots; },
                                       process_bound));
     m_cluster.entry_process(0).send_signal(SIGCONT);
     EXPECT_TRUE(stand_ins::wait_until(
-        [&] { return slots_of(0) + slots_of(1) == zilina_executors * slots; }, process_bound));
+        [&] { return slots_of(0) + slots_of(1) == kiruna_executors * slots; }, process_bound));
 }
 
 TEST_F(propagation_failures, a_domain_without_entries_has_its_executors_used_by_the_region) {
     m_cluster.entry_process(0).kill();
     m_cluster.entry_process(1).kill();
     EXPECT_TRUE(stand_ins::wait_until(
-        [&] { return slots_of(2) + slots_of(3) == (zilina_executors + banska_executors) * slots; },
+        [&] { return slots_of(2) + slots_of(3) == (kiruna_executors + lulea_executors) * slots; },
         process_bound));
     ASSERT_FALSE(m_cluster.start_entry(0));
     EXPECT_TRUE(stand_ins::wait_until(
-        [&] { return slots_of(2) + slots_of(3) == banska_executors * slots; }, process_bound));
+        [&] { return slots_of(2) + slots_of(3) == lulea_executors * slots; }, process_bound));
 }
 
 TEST_F(propagation_failures, one_entry_of_each_domain_reads_the_platform) {
@@ -194,7 +195,7 @@
 
 TEST_F(propagation_failures, another_entry_reads_when_the_reader_is_gone) {
     m_cluster.entry_process(0).kill();
-    ASSERT_FALSE(m_cluster.set_fault_between("zilina", "banska", {.mode = proxy_mode::drop}));
+    ASSERT_FALSE(m_cluster.set_fault_between("kiruna-a", "lulea", {.mode = proxy_mode::drop}));
     ASSERT_EQ(m_cluster.apply(manifest_with("max_tasks_per_second = 5000")), EXIT_SUCCESS);
     EXPECT_TRUE(stand_ins::wait_until([&] { return version(1) == 2; }, in_force_bound));
     m_cluster.entry_process(1).kill();
