--- /dev/null
+++ b/source/core/common/rendezvous.cpp
@@ -0,0 +1,33 @@
+// Rendezvous hashing over SHA-256.
+#include "core/common/rendezvous.h"
+
+#include <openssl/sha.h>
+
+#include <array>
+#include <cstring>
+
+namespace savorytrail::common {
+
+std::uint64_t rendezvous_weight(const std::string& key, const std::string& name) {
+    const std::string text = key + '\n' + name;
+    std::array<unsigned char, SHA256_DIGEST_LENGTH> sum{};
+    SHA256(reinterpret_cast<const unsigned char*>(text.data()), text.size(), sum.data());
+    std::uint64_t n = 0;
+    std::memcpy(&n, sum.data(), sizeof(n));
+    return n;
+}
+
+std::string rendezvous_choice(const std::string& key, const std::vector<std::string>& names) {
+    std::string chosen;
+    std::uint64_t highest = 0;
+    for (const auto& it : names) {
+        const std::uint64_t n = rendezvous_weight(key, it);
+        if (chosen.empty() || n > highest) {
+            chosen = it;
+            highest = n;
+        }
+    }
+    return chosen;
+}
+
+} // namespace savorytrail::common
--- a/source/core/dispatch/partition.cpp
+++ b/source/core/dispatch/partition.cpp
@@ -1,25 +1,14 @@
-// Rendezvous hashing over SHA-256, which every process computes alike.
+// Division of executors by rendezvous hashing with bounded load.
 #include "core/dispatch/partition.h"
 
-#include <openssl/sha.h>
-
 #include <algorithm>
-#include <array>
-#include <cstring>
 #include <map>
 
+#include "core/common/rendezvous.h"
+
 namespace savorytrail::dispatch {
 namespace {
 
-std::uint64_t weight(const std::string& executor, const std::string& entry) {
-    const std::string text = executor + '\n' + entry;
-    std::array<unsigned char, SHA256_DIGEST_LENGTH> sum{};
-    SHA256(reinterpret_cast<const unsigned char*>(text.data()), text.size(), sum.data());
-    std::uint64_t n = 0;
-    std::memcpy(&n, sum.data(), sizeof(n));
-    return n;
-}
-
 // The entry of the highest weight among those that still have room.
 std::string choose_owner(const manifest::executor& executor,
                          const std::map<std::string, std::uint64_t>& room) {
@@ -28,7 +17,7 @@
     for (const auto& [entry, slots] : room) {
         if (slots == 0)
             continue;
-        const std::uint64_t n = weight(executor.name, entry);
+        const std::uint64_t n = common::rendezvous_weight(executor.name, entry);
         if (owner.empty() || n > highest) {
             owner = entry;
             highest = n;
