--- a/source/benchmarks/dispatch_benchmark.cpp
+++ b/source/benchmarks/dispatch_benchmark.cpp
@@ -105,6 +105,51 @@
             {failing, ejections},    {slow, ejections}, {refusing, ejections}, {burst, admissions}};
 }
 
+savorytrail::dispatch::ticket one_task_job(std::uint64_t sequence, time_point now) {
+    savorytrail::dispatch::ticket it;
+    it.id.sequence = sequence;
+    it.upstream = "u";
+    it.arrived = now;
+    it.deadline = now + std::chrono::hours(1);
+    it.expected.assign(1, milliseconds(100));
+    return it;
+}
+
+// Processor time of one refusal at a full queue and of one cancellation in a wave that empties it.
+// Not repeatable to the digit, unlike the scenarios.
+void print_decision_times(std::size_t queued) {
+    using clock = std::chrono::steady_clock;
+    const time_point now = clock::now();
+    savorytrail::dispatch::dispatcher dispatcher("standard", {queued});
+    std::vector<savorytrail::dispatch::start> starts;
+    savorytrail::manifest::executor executor;
+    executor.name = "e";
+    dispatcher.set_executors("u", {{executor, 1}}, now, starts);
+    for (std::size_t i = 0; i <= queued; i++)
+        dispatcher.submit(one_task_job(i, now), now, starts);
+
+    constexpr std::size_t refusals = 10000;
+    std::size_t refused = 0;
+    const auto before_refusals = clock::now();
+    for (std::size_t i = 0; i < refusals; i++)
+        refused +=
+            dispatcher.submit(one_task_job(queued + 1, now), now, starts).is_accepted ? 0 : 1;
+    const auto before_wave = clock::now();
+    for (std::size_t i = 0; i <= queued; i++)
+        dispatcher.cancel("u", one_task_job(i, now).id);
+    const auto end = clock::now();
+
+    const std::chrono::duration<double, std::micro> refusing = before_wave - before_refusals;
+    const std::chrono::duration<double, std::micro> cancelling = end - before_wave;
+    nlohmann::ordered_json line;
+    line["scenario"] = "decision_times";
+    line["queued_jobs"] = queued;
+    line["refused"] = refused;
+    line["us_per_refusal"] = refusing.count() / refusals;
+    line["us_per_cancellation"] = cancelling.count() / double(queued);
+    std::cout << line.dump() << std::endl;
+}
+
 } // namespace
 
 // Arguments: names of scenarios; none for all.
@@ -117,5 +162,9 @@
         for (const auto& chosen : it.policies)
             print(it.settings, chosen, simulation(it.settings, chosen).run());
     }
+    if (names.empty() || std::find(names.begin(), names.end(), "decision_times") != names.end()) {
+        for (const std::size_t queued : {1000, 10000, 20000})
+            print_decision_times(queued);
+    }
     return 0;
 }
