Executor health: faster on slow executors, shared between borrower and owner

Change: a quarter of the running tasks overdue ejects instead of half; an executor with an overdue task is chosen last; a borrower gives slots on an executor that it ejected back at once and names it to the owner; at most half of an entry's executors may be out, since of some eight three or four can be bad at once.

--- a/source/benchmarks/simulation.cpp
+++ b/source/benchmarks/simulation.cpp
@@ -148,8 +148,11 @@
         const double error = std::pow(m_settings.declared_error, uniform(m_random, -1, 1));
         it.times.push_back(time);
         it.ticket.expected.emplace_back(std::max(1L, std::lround(time.count() * error)));
-        if (m_policy.tells_kinds)
-            it.ticket.kinds.push_back(dispatch::task_kind("/kind/" + std::to_string(kind)));
+        const std::string path =
+            m_policy.tells_kinds
+                ? "/kind/" + std::to_string(kind)
+                : "/" + std::to_string(it.ticket.id.sequence) + "/" + std::to_string(i);
+        it.ticket.kinds.push_back(dispatch::task_kind(path));
         it.work += time;
         longest = std::max(longest, time);
     }
--- a/source/benchmarks/simulation.h
+++ b/source/benchmarks/simulation.h
@@ -51,7 +51,7 @@
     std::string name;  // as printed
     std::string queue; // of the dispatcher
     placement_mode mode = placement_mode::partition;
-    bool tells_kinds = true; // without kinds nothing is learned
+    bool tells_kinds = true; // else each task has a path of its own, and nothing is learned
 };
 
 struct measurement {
--- a/source/core/dispatch/dispatcher.cpp
+++ b/source/core/dispatch/dispatcher.cpp
@@ -121,6 +121,15 @@
     return all;
 }
 
+void dispatcher::eject(const std::string& upstream, const std::string& executor,
+                       common::time_point now) {
+    const auto it = find(upstream);
+    if (!it)
+        return;
+    const std::lock_guard lock(it->mutex);
+    it->queue->eject(executor, now);
+}
+
 bool dispatcher::owns(const std::string& upstream, const std::string& executor) const {
     const auto it = find(upstream);
     if (!it)
--- a/source/core/dispatch/dispatcher.h
+++ b/source/core/dispatch/dispatcher.h
@@ -48,6 +48,7 @@
     void end_borrowed(const std::string& upstream, const std::vector<executor_slots>& slots);
     void set_borrowable(const std::string& upstream, std::optional<std::size_t> slots);
     std::vector<slot_demand> demands() const;
+    void eject(const std::string& upstream, const std::string& executor, common::time_point now);
     bool owns(const std::string& upstream, const std::string& executor) const;
     // Idle own slots while nothing waits for them.
     std::size_t lendable(const std::string& upstream) const;
--- a/source/core/dispatch/executor_pool.cpp
+++ b/source/core/dispatch/executor_pool.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr std::size_t overdue_tasks_to_eject = 2;
+constexpr std::size_t overdue_divisor = 4; // of the running tasks
 
 std::uint32_t idle_of(const executor_view& it) {
     return it.slots > it.running ? it.slots - it.running : 0;
@@ -78,6 +79,7 @@
         m_members[i].health.tick(now);
         eject_if_due(i, now);
         refresh(i);
+        m_views[i].is_suspect = overdue_tasks(m_members[i], now) > 0;
     }
 }
 
@@ -161,6 +163,26 @@
     return index < m_members.size() && m_members[index].own > 0;
 }
 
+std::vector<std::string> executor_pool::ejected_borrowed() const {
+    std::vector<std::string> names;
+    for (const auto& it : m_members) {
+        if (it.borrowed > 0 && it.health.current() == executor_health::state::ejected)
+            names.push_back(it.executor->name);
+    }
+    return names;
+}
+
+void executor_pool::eject(const std::string& executor, common::time_point now) {
+    const std::size_t index = find(executor);
+    if (!m_ejects || index == m_members.size())
+        return;
+    member& it = m_members[index];
+    if (it.health.current() != executor_health::state::healthy || !may_eject(it))
+        return;
+    it.health.eject(now);
+    refresh(index);
+}
+
 std::size_t executor_pool::ejected() const {
     return std::count_if(m_members.begin(), m_members.end(),
                          [](const member& it) { return it.health.is_out(); });
@@ -215,26 +237,34 @@
         return;
     if (!it.health.wants_ejection() && !is_overdue(it, now))
         return;
+    if (may_eject(it))
+        it.health.eject(now);
+}
+
+bool executor_pool::may_eject(const member& it) const {
     const std::size_t most = std::max<std::size_t>(m_members.size() / max_ejected_divisor, 1);
     const std::size_t others = ejected() - (it.health.is_out() ? 1 : 0);
-    if (m_members.size() < 2 || others >= most)
-        return;
-    it.health.eject(now);
+    return m_members.size() >= 2 && others < most;
+}
+
+std::size_t executor_pool::overdue_tasks(const member& it, common::time_point now) {
+    return std::count_if(it.running.begin(), it.running.end(),
+                         [now, &it](const running_task& task) {
+                             return it.health.counts(task.begun) && task.is_overdue(now);
+                         });
 }
 
-bool executor_pool::is_overdue(const member& it, common::time_point now) const {
+// A healthy executor is overdue with two tasks that are a quarter of those it runs; one that is
+// probed, with any.
+bool executor_pool::is_overdue(const member& it, common::time_point now) {
     if (it.health.current() == executor_health::state::ejected)
         return false;
-    const auto overdue = static_cast<std::size_t>(
-        std::count_if(it.running.begin(), it.running.end(), [now, &it](const running_task& task) {
-            return it.health.counts(task.begun) && task.is_overdue(now);
-        }));
-    const bool is_healthy = it.health.current() == executor_health::state::healthy;
+    const std::size_t overdue = overdue_tasks(it, now);
+    if (it.health.current() != executor_health::state::healthy)
+        return overdue > 0;
     const std::size_t needed =
-        is_healthy
-            ? std::min<std::size_t>(overdue_tasks_to_eject, std::max(it.own + it.borrowed, 1U))
-            : 1;
-    return overdue >= needed && overdue * 2 >= it.running.size();
+        std::min<std::size_t>(overdue_tasks_to_eject, std::max(it.own + it.borrowed, 1U));
+    return overdue >= needed && overdue * overdue_divisor >= it.running.size();
 }
 
 } // namespace savorytrail::dispatch
--- a/source/core/dispatch/executor_pool.h
+++ b/source/core/dispatch/executor_pool.h
@@ -16,7 +16,7 @@
 class executor_pool {
 public:
     // Share of the executors that may be ejected at a time; of two or more, one always may.
-    static constexpr std::size_t max_ejected_divisor = 3;
+    static constexpr std::size_t max_ejected_divisor = 2;
 
     explicit executor_pool(bool ejects) : m_ejects(ejects) {}
 
@@ -53,6 +53,9 @@
     std::size_t idle() const { return m_idle; }
     std::size_t idle_own() const;
     bool owns(const std::string& executor) const;
+    std::vector<std::string> ejected_borrowed() const;
+    // Ejects a healthy executor, unless too many are out.
+    void eject(const std::string& executor, common::time_point now);
     std::size_t running() const { return m_running; }
     std::size_t ejected() const;
 
@@ -84,7 +87,9 @@
     void refresh(std::size_t index);
     void remove_unused();
     void eject_if_due(std::size_t index, common::time_point now);
-    bool is_overdue(const member& it, common::time_point now) const;
+    bool may_eject(const member& it) const;
+    static std::size_t overdue_tasks(const member& it, common::time_point now);
+    static bool is_overdue(const member& it, common::time_point now);
 
     const bool m_ejects;
     std::vector<member> m_members;
--- a/source/core/dispatch/policy.h
+++ b/source/core/dispatch/policy.h
@@ -24,6 +24,7 @@
     std::uint32_t slots = 0;
     std::uint32_t running = 0;
     bool is_borrowed = false; // all its slots are
+    bool is_suspect = false;  // a task that runs on it is overdue
 
     bool is_free() const { return running < slots; }
 };
@@ -74,7 +75,7 @@
 };
 
 // The executor with the smallest share of its slots in use. Own ones come before borrowed ones, so
-// that loans which are no longer needed fall idle.
+// that loans which are no longer needed fall idle, and suspect ones come last.
 struct least_loaded_placement {
     std::size_t choose(const std::vector<executor_view>& executors, std::size_t avoided) const {
         std::size_t best = executors.size();
@@ -91,6 +92,8 @@
 
 private:
     static bool is_better(const executor_view& a, const executor_view& b) {
+        if (a.is_suspect != b.is_suspect)
+            return b.is_suspect;
         if (a.is_borrowed != b.is_borrowed)
             return b.is_borrowed;
         return std::uint64_t{a.running} * b.slots < std::uint64_t{b.running} * a.slots;
--- a/source/core/dispatch/types.h
+++ b/source/core/dispatch/types.h
@@ -81,6 +81,7 @@
     std::size_t slots = 0;                     // usable, borrowed ones included
     std::size_t idle_own = 0;                  // own slots that could be lent
     std::vector<executor_slots> idle_borrowed; // borrowed slots without a task
+    std::vector<std::string> ejected_borrowed; // executors with borrowed slots that are out
 
     bool operator==(const slot_demand&) const = default;
 };
--- a/source/core/dispatch/upstream_queue.cpp
+++ b/source/core/dispatch/upstream_queue.cpp
@@ -50,6 +50,9 @@
     slot_demand demand() const override;
     bool has_backlog() const override { return !m_queue.is_empty(); }
     bool owns(const std::string& executor) const override { return m_pool.owns(executor); }
+    void eject(const std::string& executor, common::time_point now) override {
+        m_pool.eject(executor, now);
+    }
 
 private:
     static std::uint64_t kind_of(const ticket& job, std::uint32_t task) {
@@ -221,7 +224,12 @@
 
 template <job_order Order, placement Placement>
 slot_demand basic_upstream_queue<Order, Placement>::demand() const {
-    return {m_name, m_queue.queued(), m_pool.slots(), m_pool.idle_own(), m_pool.idle_borrowed()};
+    return {m_name,
+            m_queue.queued(),
+            m_pool.slots(),
+            m_pool.idle_own(),
+            m_pool.idle_borrowed(),
+            m_pool.ejected_borrowed()};
 }
 
 template <job_order Order, placement Placement>
--- a/source/core/dispatch/upstream_queue.h
+++ b/source/core/dispatch/upstream_queue.h
@@ -47,6 +47,8 @@
     virtual void set_borrowable(std::optional<std::size_t> slots) = 0;
     virtual slot_demand demand() const = 0;
     virtual bool has_backlog() const = 0;
+    // Ejects an executor on a borrower's word, within the same bounds as on its own experience.
+    virtual void eject(const std::string& executor, common::time_point now) = 0;
     virtual bool owns(const std::string& executor) const = 0;
 
 protected:
--- a/source/core/loan/borrower.cpp
+++ b/source/core/loan/borrower.cpp
@@ -3,6 +3,7 @@
 #include "core/loan/borrower.h"
 
 #include <algorithm>
+#include <limits>
 #include <tuple>
 
 #include "core/loan/lender.h"
@@ -56,6 +57,7 @@
             continue;
         upstream_state& it = found->second;
         expire(demand.upstream, it, now);
+        give_back_ejected(demand, it, now);
         give_back_unused(demand, it, now);
         ask(demand, it, now, out);
         renew(demand.upstream, it, now, out);
@@ -134,9 +136,11 @@
 
 exchange borrower::make_exchange(const std::string& upstream, const std::string& vm, source& from,
                                  std::uint32_t wanted, common::time_point now) {
-    exchange it{vm, {m_self, m_incarnation, ++m_sequence, upstream, wanted, {}}, now};
+    exchange it{vm, {m_self, m_incarnation, ++m_sequence, upstream, wanted, {}, {}}, now};
     for (const auto& [id, loan] : from.loans)
         it.request.held.push_back({id, loan.slots.slots, !loan.is_over});
+    it.request.ejected.assign(from.ejected.begin(), from.ejected.end());
+    from.ejected.clear();
     from.is_asked = true;
     from.returns_since = std::nullopt;
     return it;
@@ -154,6 +158,23 @@
     }
 }
 
+// Idle slots of an executor that this entry has ejected go back at once, and its owner is told.
+void borrower::give_back_ejected(const dispatch::slot_demand& demand, upstream_state& it,
+                                 common::time_point now) {
+    for (const auto& executor : demand.ejected_borrowed) {
+        for (auto& [vm, from] : it.sources) {
+            for (const auto& [id, loan] : from.loans) {
+                if (loan.slots.executor == executor && !loan.is_over)
+                    from.ejected.insert(executor);
+            }
+        }
+        const std::vector<dispatch::executor_slots> all = {
+            {executor, std::numeric_limits<std::uint32_t>::max()}};
+        for (const auto& given : m_dispatcher.give_back(demand.upstream, all))
+            reduce(it, given, now);
+    }
+}
+
 // Slots that stayed unused over a whole hold time go back.
 void borrower::give_back_unused(const dispatch::slot_demand& demand, upstream_state& it,
                                 common::time_point now) {
--- a/source/core/loan/borrower.h
+++ b/source/core/loan/borrower.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <mutex>
 #include <optional>
+#include <set>
 
 #include "core/dispatch/dispatcher.h"
 #include "core/loan/types.h"
@@ -69,6 +70,7 @@
         bool is_near = false;
         bool is_offered = false;                         // by the newest offers
         bool is_asked = false;                           // a request is out
+        std::set<std::string> ejected;                   // executors that failed, to be told
         std::optional<common::time_point> returns_since; // slots it does not know are given back
         submission::incarnation lender;
         std::map<std::uint64_t, held> loans;
@@ -88,6 +90,8 @@
     void expire(const std::string& upstream, upstream_state& it, common::time_point now);
     void give_back_unused(const dispatch::slot_demand& demand, upstream_state& it,
                           common::time_point now);
+    void give_back_ejected(const dispatch::slot_demand& demand, upstream_state& it,
+                           common::time_point now);
     static void reduce(upstream_state& it, const dispatch::executor_slots& given,
                        common::time_point now);
     static void note_return(source& from, common::time_point now);
--- a/source/core/loan/codec.cpp
+++ b/source/core/loan/codec.cpp
@@ -29,14 +29,20 @@
         held.set_slots(it.slots);
         held.set_renews(it.renews);
     }
+    for (const auto& it : value.ejected)
+        out.add_ejected(it);
 }
 
 std::optional<loan_request> from_message(const schema::loan_request& message) {
     if (message.borrower().empty() || message.upstream().empty() || message.sequence() == 0)
         return std::nullopt;
-    loan_request value{message.borrower(), from_message(message.borrower_incarnation()),
-                       message.sequence(), message.upstream(),
-                       message.wanted(),   {}};
+    loan_request value;
+    value.borrower = message.borrower();
+    value.incarnation = from_message(message.borrower_incarnation());
+    value.sequence = message.sequence();
+    value.upstream = message.upstream();
+    value.wanted = message.wanted();
+    value.ejected.assign(message.ejected().begin(), message.ejected().end());
     for (const auto& it : message.held())
         value.held.push_back({it.loan(), it.slots(), it.renews()});
     return value;
--- a/source/core/loan/lender.cpp
+++ b/source/core/loan/lender.cpp
@@ -14,6 +14,8 @@
     if (!is_newest(request))
         return reply;
 
+    for (const auto& it : request.ejected)
+        m_dispatcher.eject(request.upstream, it, now);
     const auto release_at = now + term + task_timeout;
     settle(request, release_at, reply, now, starts);
     if (request.wanted > 0) {
--- a/source/core/loan/types.h
+++ b/source/core/loan/types.h
@@ -40,7 +40,8 @@
     std::uint64_t sequence = 0; // rises with each request of the incarnation
     std::string upstream;
     std::uint32_t wanted = 0;
-    std::vector<held_loan> held; // with the slots that are kept of each
+    std::vector<held_loan> held;      // with the slots that are kept of each
+    std::vector<std::string> ejected; // executors that failed the borrower
 
     bool operator==(const loan_request&) const = default;
 };
--- a/source/unit_tests/loan/loan_test.cpp
+++ b/source/unit_tests/loan/loan_test.cpp
@@ -97,6 +97,29 @@
     EXPECT_EQ(m_lending.lendable("u"), slots);
 }
 
+TEST_F(two_entries, the_lender_learns_of_an_executor_that_fails_the_borrower) {
+    manifest::executor other;
+    other.name = "other";
+    manifest::executor failing;
+    failing.name = "e";
+    m_lending.set_executors("u", {{failing, slots}, {other, slots}}, m_now, m_starts);
+    manifest::executor own;
+    own.name = "own";
+    m_borrowing.set_executors("u", {{own, 1}}, m_now, m_starts);
+    submit(m_borrowing, 8);
+    exchange_messages();
+    const auto running = std::move(m_starts);
+    m_starts.clear();
+    for (const auto& it : running)
+        m_borrowing.complete(it,
+                             it.executor->name == "e" ? dispatch::completion::failed
+                                                      : dispatch::completion::answered,
+                             milliseconds(2), m_now, m_starts);
+    pass(milliseconds(500));
+    EXPECT_EQ(m_lending.status().at(0).ejected_executors, 1U);
+    EXPECT_EQ(m_lending.lendable("u"), slots);
+}
+
 TEST_F(two_entries, a_lender_with_a_backlog_lends_nothing) {
     submit(m_lending, slots + 1);
     m_starts.clear();
