Front: the bounded server; malformed requests are answered in JSON

callers.threads now bounds connections, callers.read_timeout_ms the whole header, the whole body and the sending of an answer.

--- a/source/core/entry/entry.cpp
+++ b/source/core/entry/entry.cpp
@@ -37,9 +37,11 @@
 front::front_limits make_front_limits(const schema::entry_settings& settings) {
     const auto& callers = settings.callers();
     front::front_limits limits;
-    limits.server.threads = callers.threads();
+    limits.server.connections = callers.threads();
     limits.server.max_body_bytes = callers.max_body_bytes();
-    limits.server.read_timeout = ms(callers.read_timeout_ms());
+    limits.server.header_time = ms(callers.read_timeout_ms());
+    limits.server.body_time = ms(callers.read_timeout_ms());
+    limits.server.write_time = ms(callers.read_timeout_ms());
     limits.job.max_task_body_bytes = callers.max_task_body_bytes();
     limits.max_ids_per_call = settings.submissions().max_ids_per_call();
     limits.max_wait = ms(callers.max_wait_ms());
--- a/source/core/front/front.cpp
+++ b/source/core/front/front.cpp
@@ -43,6 +43,18 @@
     return it;
 }
 
+// Counts a request that is being served, also when its handler throws.
+class counted_request {
+public:
+    explicit counted_request(std::atomic<std::size_t>& count) : m_count(count) { m_count++; }
+    ~counted_request() { m_count--; }
+    counted_request(const counted_request&) = delete;
+    counted_request& operator=(const counted_request&) = delete;
+
+private:
+    std::atomic<std::size_t>& m_count;
+};
+
 reply invalid(const job::invalid_field& what) {
     return error_reply(400, "invalid_field", what.field, what.message);
 }
@@ -52,7 +64,7 @@
 front::front(front_limits limits, submission::issuer& ids, routing::router& router,
              routing::keyed_router& keyed, front_sources sources)
     : m_limits(limits), m_ids(ids), m_router(router), m_keyed(keyed), m_sources(std::move(sources)),
-      m_server(std::make_unique<httplib::Server>()) {}
+      m_server(m_limits.server) {}
 
 front::~front() {
     stop();
@@ -60,14 +72,14 @@
 
 std::error_code front::start(const common::endpoint& address) {
     add_routes();
-    if (const auto ec = http::bind_server(*m_server, address, m_limits.server))
+    if (const auto ec = m_server.bind(address))
         return ec;
-    m_thread = std::thread([this] { m_server->listen_after_bind(); });
+    m_thread = std::thread([this] { m_server.serve(); });
     return {};
 }
 
 void front::stop() {
-    m_server->stop();
+    m_server.stop();
     if (m_thread.joinable())
         m_thread.join();
 }
@@ -75,45 +87,42 @@
 void front::add_routes() {
     using request = httplib::Request;
     using response = httplib::Response;
-    m_server->Post("/v1/submission-ids",
-                   serve([this](const request& in) { return issue_ids(in); }));
-    m_server->Post("/v1/jobs", serve([this](const request& in) { return submit_with_key(in); }));
-    m_server->Put(R"(/v1/jobs/([^/]+))", serve([this](const request& in) { return submit(in); }));
-    m_server->Get(R"(/v1/jobs/([^/]+))",
-                  serve([this](const request& in) { return ask(in, peer::request_kind::query); }));
-    m_server->Get(R"(/v1/jobs/([^/]+)/story)",
-                  serve([this](const request& in) { return tell_story(in); }));
-    m_server->Delete(R"(/v1/jobs/([^/]+))", serve([this](const request& in) {
-                         return ask(in, peer::request_kind::cancel);
-                     }));
-    m_server->Get("/healthz",
-                  [](const request&, response& out) { out.set_content("ok\n", "text/plain"); });
-    m_server->Get("/readyz", [this](const request&, response& out) {
+    auto& routes = m_server.routes();
+    routes.Post("/v1/submission-ids", serve([this](const request& in) { return issue_ids(in); }));
+    routes.Post("/v1/jobs", serve([this](const request& in) { return submit_with_key(in); }));
+    routes.Put(R"(/v1/jobs/([^/]+))", serve([this](const request& in) { return submit(in); }));
+    routes.Get(R"(/v1/jobs/([^/]+))",
+               serve([this](const request& in) { return ask(in, peer::request_kind::query); }));
+    routes.Get(R"(/v1/jobs/([^/]+)/story)",
+               serve([this](const request& in) { return tell_story(in); }));
+    routes.Delete(R"(/v1/jobs/([^/]+))",
+                  serve([this](const request& in) { return ask(in, peer::request_kind::cancel); }));
+    routes.Get("/healthz",
+               [](const request&, response& out) { out.set_content("ok\n", "text/plain"); });
+    routes.Get("/readyz", [this](const request&, response& out) {
         const bool ready = m_sources.is_ready();
         out.status = ready ? 200 : 503;
         out.set_content(ready ? "ready\n" : "not ready\n", "text/plain");
     });
-    m_server->Get("/v1/status", [this](const request&, response& out) {
+    routes.Get("/v1/status", [this](const request&, response& out) {
         out.set_content(m_sources.status_json(), json_type);
     });
-    m_server->Get("/metrics", [this](const request&, response& out) {
+    routes.Get("/metrics", [this](const request&, response& out) {
         out.set_content(m_sources.metrics_text(), "text/plain; version=0.0.4");
     });
-    m_server->set_error_handler([](const request&, response& out) {
-        if (out.body.empty())
-            send(error_reply(out.status, "http_error", "",
-                             "no such call, or the request exceeds a limit"),
-                 out);
+    m_server.set_error_writer([](httplib::Response& out) {
+        send(error_reply(out.status, "http_error", "",
+                         "no such call, a malformed request, or one that exceeds a limit"),
+             out);
     });
 }
 
 std::function<void(const httplib::Request&, httplib::Response&)> front::serve(handler inner) {
     return [this, inner = std::move(inner)](const httplib::Request& in, httplib::Response& out) {
-        m_active++;
+        const counted_request counted(m_active);
         send(inner(in), out);
         if (!m_is_issuing)
             out.set_header("Connection", "close");
-        m_active--;
     };
 }
 
--- a/source/core/front/front.h
+++ b/source/core/front/front.h
@@ -3,20 +3,18 @@
 
 #include <atomic>
 #include <functional>
-#include <memory>
 #include <string>
 #include <system_error>
 #include <thread>
 
 #include "core/front/replies.h"
-#include "core/http/server_setup.h"
+#include "core/http/caller_server.h"
 #include "core/job/job_json.h"
 #include "core/routing/keyed_router.h"
 #include "core/routing/router.h"
 #include "core/submission/issuer.h"
 
 namespace httplib {
-class Server;
 struct Request;
 struct Response;
 } // namespace httplib
@@ -24,7 +22,7 @@
 namespace savorytrail::front {
 
 struct front_limits {
-    http::server_limits server;
+    http::caller_server_limits server;
     job::job_limits job;
     std::size_t max_ids_per_call = 1000;
     common::milliseconds max_wait{30000};
@@ -75,7 +73,7 @@
     const front_sources m_sources;
     std::atomic<bool> m_is_issuing{true};
     std::atomic<std::size_t> m_active{0}; // requests being served
-    std::unique_ptr<httplib::Server> m_server;
+    http::caller_server m_server;
     std::thread m_thread;
 };
 
