Submission ids have one spelling

Parser fuzzing found that the last character of an id has spare bits which the base-64 decoder ignores, so that four texts named the same id; they reached the same record, so that no promise was broken, but logs, stories and comparisons by text took them for different ids. All but the canonical text are now refused.

--- a/source/core/submission/submission_id.cpp
+++ b/source/core/submission/submission_id.cpp
@@ -81,6 +81,9 @@
     id.expires_ms = take<std::uint32_t>(rest);
     id.sequence = take<std::uint64_t>(rest);
     id.tag = take<std::uint64_t>(rest);
+    // The last character has spare bits, which the decoder ignores; an id has one spelling only.
+    if (to_string(id) != text)
+        return std::nullopt;
     return id;
 }
 
