--- a/source/core/entry/watcher.cpp
+++ b/source/core/entry/watcher.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 
 #include "absl/strings/str_cat.h"
+#include "core/telemetry/log.h"
 
 namespace savorytrail::entry {
 namespace {
@@ -31,6 +32,15 @@
     return text;
 }
 
+void log_unsuccessful(const submission::submission_id& id, const job::answer& answer) {
+    const bool is_refused = answer.state == job::answer_state::refused;
+    telemetry::log_line(telemetry::severity::info,
+                        is_refused ? "submission_refused" : "submission_failed")
+        .field("submission", submission::to_string(id))
+        .field("reason", job::to_string(answer.why))
+        .field("detail", answer.detail);
+}
+
 std::string place(const home::outgoing_task& task) {
     return absl::StrCat("task ", task.where.task, " at ", task.where.executor->name, " (",
                         task.where.executor->address.to_string(), ")");
@@ -60,6 +70,9 @@
 void watcher::not_recorded(const submission::submission_id& id, const job::answer& answer) {
     m_metrics.count_answer(job::to_string(answer.state), job::to_string(answer.why));
     m_stories.add(id, "not_recorded", describe(answer));
+    telemetry::log_line(telemetry::severity::warning, "submission_not_recorded")
+        .field("submission", submission::to_string(id))
+        .field("reason", job::to_string(answer.why));
 }
 
 void watcher::admitted(const submission::submission_id& id) {
@@ -105,6 +118,8 @@
         m_metrics.observe_response(
             std::chrono::duration_cast<common::milliseconds>(m_clock.now() - ended.opened),
             ended.longest_task);
+    else
+        log_unsuccessful(id, answer);
     m_stories.add_final(id, "answered", describe(answer));
 }
 
--- /dev/null
+++ b/source/unit_tests/telemetry/log_events_test.cpp
@@ -0,0 +1,66 @@
+// docs/LOGS.md lists exactly the events that the sources write.
+#include <gtest/gtest.h>
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <regex>
+#include <set>
+#include <sstream>
+#include <string>
+
+namespace savorytrail::telemetry {
+namespace {
+
+namespace fs = std::filesystem;
+
+std::string read(const fs::path& path) {
+    const std::ifstream file(path);
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+fs::path source_root() {
+    const char* const root = std::getenv("SAVORY_SOURCE");
+    return root != nullptr ? root : ".";
+}
+
+void add_matches(const std::string& text, const std::regex& pattern, std::set<std::string>& out) {
+    for (std::sregex_iterator it(text.begin(), text.end(), pattern), end; it != end; ++it)
+        out.insert((*it)[1]);
+}
+
+// The string literals in the arguments of each log line; one that has none is an error.
+std::set<std::string> events_in(const std::string& text, const std::string& file) {
+    static const std::regex s_call("log_line\\(([^;]*?severity::[^;]*?)\\)\\s*[.;]");
+    static const std::regex s_name("\"([a-z_]+)\"");
+    std::set<std::string> result;
+    for (std::sregex_iterator it(text.begin(), text.end(), s_call), end; it != end; ++it) {
+        const std::string arguments = (*it)[1];
+        std::set<std::string> names;
+        add_matches(arguments, s_name, names);
+        EXPECT_FALSE(names.empty()) << file << ": event name is no literal: " << arguments;
+        result.merge(names);
+    }
+    return result;
+}
+
+TEST(log_events, page_lists_exactly_those_in_the_sources) {
+    std::set<std::string> used = {"lines_suppressed"}; // written by the log itself
+    for (const char* const folder : {"source/core", "source/programs"}) {
+        for (const auto& it : fs::recursive_directory_iterator(source_root() / folder)) {
+            const bool is_log = it.path().parent_path().filename() == "telemetry";
+            if (it.path().extension() == ".cpp" && !is_log)
+                used.merge(events_in(read(it.path()), it.path().string()));
+        }
+    }
+    std::set<std::string> listed;
+    add_matches(read(source_root() / "docs" / "LOGS.md"), std::regex("\n\\| `([a-z_]+)` \\|"),
+                listed);
+    EXPECT_EQ(used, listed);
+    EXPECT_GT(listed.size(), 5U);
+}
+
+} // namespace
+} // namespace savorytrail::telemetry
