--- a/source/core/entry/entry.cpp
+++ b/source/core/entry/entry.cpp
@@ -186,7 +186,12 @@
 
 void entry::read_configuration() {
     const auto newer = configuration::read_newer(m_platform, m_configuration.version());
-    if (!newer || !newer.value())
+    if (!newer) {
+        m_configuration_reach.failed(newer.error());
+        return;
+    }
+    m_configuration_reach.worked();
+    if (!newer.value())
         return;
     if (!m_configuration.offer(*newer.value()))
         return;
@@ -200,8 +205,11 @@
 
 void entry::read_live_list() {
     const auto changes = m_platform.read_newer(m_list_revision);
-    if (!changes)
+    if (!changes) {
+        m_live_list_reach.failed(changes.error());
         return;
+    }
+    m_live_list_reach.worked();
     m_list_revision = changes.value().revision;
     m_directory.update(changes.value());
 }
@@ -293,7 +301,8 @@
         status["upstreams"].push_back({{"name", it.upstream},
                                        {"queued_tasks", it.queued_tasks},
                                        {"running_tasks", it.running_tasks},
-                                       {"slots", it.slots}});
+                                       {"slots", it.slots},
+                                       {"ejected_executors", it.ejected_executors}});
     }
     status["queued_tasks"] = queued;
     return status.dump();
--- a/source/core/entry/entry.h
+++ b/source/core/entry/entry.h
@@ -16,6 +16,7 @@
 #include "core/common/random.h"
 #include "core/configuration/holder.h"
 #include "core/dispatch/dispatcher.h"
+#include "core/entry/reach.h"
 #include "core/entry/watcher.h"
 #include "core/front/front.h"
 #include "core/handover/client.h"
@@ -98,7 +99,9 @@
     claim::claimer m_claimer;
     routing::keyed_router m_keyed;
     front::front m_front;
-    std::uint64_t m_list_revision = 0; // used by the follower thread alone
+    reach m_configuration_reach{"configuration"}; // used by the follower thread alone
+    reach m_live_list_reach{"live_list"};         // used by the follower thread alone
+    std::uint64_t m_list_revision = 0;            // used by the follower thread alone
     std::atomic<bool> m_is_stopping{false};
     std::atomic<bool> m_threads_stop{false};
     std::thread m_follower;
--- a/source/core/entry/gauges.cpp
+++ b/source/core/entry/gauges.cpp
@@ -47,6 +47,9 @@
                  &dispatch::queue_status::running_tasks, out);
     write_queues(values.queues, "savory_slots", "Slots that this entry may use.",
                  &dispatch::queue_status::slots, out);
+    write_queues(values.queues, "savory_ejected_executors",
+                 "Executors that get no work but probes.",
+                 &dispatch::queue_status::ejected_executors, out);
     if (values.objectives != nullptr)
         write_objectives(*values.objectives, out);
     const auto usage = telemetry::read_process_usage();
