--- a/source/core/propagation/follower.cpp
+++ b/source/core/propagation/follower.cpp
@@ -137,18 +137,24 @@
 bool follower::read_configuration() {
     auto newer = configuration::read_newer(m_parts.table, m_parts.configuration.version());
     // Before the first apply there is no row, and a row of a later program may not be readable.
-    if (!newer)
-        return newer.error() == common::error::not_found ||
-               newer.error() == common::error::malformed;
-    if (newer.value())
+    if (!newer && newer.error() != common::error::not_found &&
+        newer.error() != common::error::malformed) {
+        m_configuration_reach.failed(newer.error());
+        return false;
+    }
+    m_configuration_reach.worked();
+    if (newer && newer.value())
         m_parts.configuration.offer(std::move(*newer.value()));
     return true;
 }
 
 bool follower::read_live_list() {
     const auto changes = m_parts.list.read_newer(m_parts.directory.own_revision());
-    if (!changes)
+    if (!changes) {
+        m_live_list_reach.failed(changes.error());
         return false;
+    }
+    m_live_list_reach.worked();
     if (changes.value().revision > m_parts.directory.own_revision()) {
         m_parts.directory.update(changes.value());
         update_view();
--- a/source/core/propagation/follower.h
+++ b/source/core/propagation/follower.h
@@ -20,6 +20,7 @@
 #include "core/membership/view.h"
 #include "core/platform/platform.h"
 #include "core/propagation/client.h"
+#include "core/propagation/reach.h"
 
 namespace savorytrail::propagation {
 
@@ -101,6 +102,8 @@
     std::uint64_t m_round = 0;                 // guarded by m_round_mutex
 
     std::atomic<membership::entry_state> m_state{membership::entry_state::serving};
+    reach m_configuration_reach{"configuration"}; // used by the platform's reader thread alone
+    reach m_live_list_reach{"live_list"};         // used by the platform's reader thread alone
     std::atomic<bool> m_platform_reachable{true};
     std::atomic<bool> m_has_caught_up{false};
     std::atomic<common::time_point> m_last_heard; // from any entry
