--- a/source/benchmarks/simulation.cpp
+++ b/source/benchmarks/simulation.cpp
@@ -81,6 +81,7 @@
         const auto executors =
             uses_all ? all.executors : dispatch::owned_executors(all, "", name, names);
         std::vector<dispatch::executor_share> shares;
+        shares.reserve(executors.size());
         for (const auto& executor : executors)
             shares.push_back({executor, executor.slots});
         std::vector<dispatch::start> starts;
