Entry: slots and quota shares are exchanged by heartbeats

Idle slots told by heartbeats steer the loans, and team shares shift with the demand that peers tell. The exchange is a class of its own, so that the entry's assembly stays small.

--- a/source/core/entry/entry.cpp
+++ b/source/core/entry/entry.cpp
@@ -22,7 +22,6 @@
 
 constexpr common::milliseconds tick_period{20};
 constexpr common::milliseconds share_period{100};
-constexpr common::milliseconds idle_news_age{3000};
 constexpr common::milliseconds drain_step{10};
 constexpr int claim_calls = 2; // to the table: a commit, and reading back
 constexpr common::milliseconds peer_stop_grace{500};
@@ -117,7 +116,7 @@
               {[this](std::vector<dispatch::start> starts) { m_home.begin(std::move(starts)); },
                [this](const std::string& vm) { return address_of(vm); },
                [this](const std::string& vm) { return m_directory.takes_new_work(vm); }}),
-      m_quota_shares(settings.node().name()), m_heirs(m_platform, m_clock),
+      m_exchange(m_configuration, m_view, m_loans, m_home, m_clock), m_heirs(m_platform, m_clock),
       m_inherited(m_clock, {settings.submissions().max_kept_bytes()}),
       m_handover(m_channels, ms(settings.peers().call_timeout_ms())),
       m_home_handler(m_home, m_ids, m_inherited,
@@ -140,7 +139,7 @@
       m_follower(
           make_follower_options(settings, m_ids.self()),
           {m_platform, m_platform, m_channels, m_configuration, m_directory, m_view, m_clock},
-          [this](membership::heartbeat& it) { add_idle_slots(it); }) {
+          [this](membership::heartbeat& it) { m_exchange.contribute(it); }) {
     m_home.set_observer(m_watcher);
     m_configuration.subscribe([this](const configuration::holder::pointer& it) {
         const std::shared_ptr<const manifest::manifest> value(it, &it->value);
@@ -222,8 +221,7 @@
 void entry::keep_shares() {
     while (!m_threads_stop) {
         refresh_shares();
-        refresh_offers();
-        refresh_quotas();
+        m_exchange.refresh();
         m_requester.close_stale();
         std::this_thread::sleep_for(share_period);
     }
@@ -255,55 +253,10 @@
     m_has_shares = true;
 }
 
-void entry::add_idle_slots(membership::heartbeat& it) const {
-    for (const auto& queue : m_dispatcher.status()) {
-        const bool is_idle = queue.queued_tasks == 0 && queue.slots > queue.running_tasks;
-        const auto slots = is_idle ? queue.slots - queue.running_tasks : 0;
-        it.idle.push_back(
-            {membership::name_number(queue.upstream), static_cast<std::uint32_t>(slots)});
-    }
-}
-
 std::vector<std::string> entry::live_entries() const {
     return m_view.live_entries(m_view.self().failure_domain, m_clock.now());
 }
 
-// Live peers may be asked for slots. An entry of the own failure domain tells its idle slots every
-// heartbeat; of others they are known from their replies.
-void entry::refresh_offers() {
-    const auto current = m_configuration.current();
-    if (!current)
-        return;
-    const auto now = m_clock.now();
-    std::vector<loan::offer> offers;
-    for (const auto& upstream : current->value.upstreams) {
-        const auto idle = m_view.idle(membership::name_number(upstream.name), idle_news_age, now);
-        for (const auto& peer : m_view.peers(now)) {
-            if (peer.state != membership::liveness::live)
-                continue;
-            const auto told = std::find_if(idle.begin(), idle.end(),
-                                           [&](const auto& it) { return it.vm == peer.name; });
-            const bool is_near = peer.failure_domain == m_view.self().failure_domain;
-            offers.push_back({peer.name, upstream.name,
-                              told == idle.end() ? std::nullopt : std::optional(told->slots),
-                              is_near});
-        }
-    }
-    m_loans.set_offers(offers);
-}
-
-// Without word from the peers their shares stay reserved, and this entry uses an even one.
-void entry::refresh_quotas() {
-    const auto current = m_configuration.current();
-    if (!current)
-        return;
-    std::vector<std::string> names;
-    for (const auto& it : m_directory.live_entries())
-        names.push_back(it.name);
-    m_quota_shares.set_entries(names);
-    m_quota_shares.refresh(current->value.teams, m_home.quota(), m_clock.now());
-}
-
 std::optional<common::endpoint> entry::address_of(const std::string& vm) const {
     const auto found = m_directory.find(vm);
     return found ? found->address : std::nullopt;
--- a/source/core/entry/entry.h
+++ b/source/core/entry/entry.h
@@ -16,6 +16,7 @@
 #include "core/common/random.h"
 #include "core/configuration/holder.h"
 #include "core/dispatch/dispatcher.h"
+#include "core/entry/exchange.h"
 #include "core/entry/shares.h"
 #include "core/entry/watcher.h"
 #include "core/front/front.h"
@@ -32,7 +33,6 @@
 #include "core/peer/server.h"
 #include "core/platform/client.h"
 #include "core/propagation/follower.h"
-#include "core/quota/share_book.h"
 #include "core/routing/keyed_router.h"
 #include "core/routing/router.h"
 #include "core/submission/issuer.h"
@@ -59,9 +59,6 @@
 private:
     void keep_shares();
     void refresh_shares();
-    void refresh_offers();
-    void refresh_quotas();
-    void add_idle_slots(membership::heartbeat& it) const;
     std::vector<std::string> live_entries() const;
     void hand_over_submissions();
     void run_ticks();
@@ -89,7 +86,7 @@
     peer::channels m_channels;
     peer::client m_peers;
     loan::agent m_loans;
-    quota::share_book m_quota_shares;
+    exchange m_exchange;
     handover::heirs m_heirs;
     handover::inheritance m_inherited;
     handover::client m_handover;
--- /dev/null
+++ b/source/core/entry/exchange.h
@@ -0,0 +1,44 @@
+// What entries tell each other of slots and quotas: this entry's idle slots and shares go out with
+// its heartbeats, and those of the others steer its loans and shares.
+#pragma once
+
+#include <mutex>
+#include <vector>
+
+#include "core/common/clock.h"
+#include "core/configuration/holder.h"
+#include "core/home/home.h"
+#include "core/loan/agent.h"
+#include "core/membership/view.h"
+#include "core/quota/share_book.h"
+
+namespace savorytrail::entry {
+
+class exchange {
+public:
+    exchange(const configuration::holder& configuration, const membership::view& view,
+             loan::agent& loans, home::home& home, const common::clock& clock);
+    exchange(const exchange&) = delete;
+    exchange& operator=(const exchange&) = delete;
+
+    // Takes in what heartbeats told since the last call.
+    void refresh();
+
+    // Adds this entry's idle slots and shares to its next heartbeat.
+    void contribute(membership::heartbeat& it) const;
+
+private:
+    void refresh_offers(const manifest::manifest& manifest, common::time_point now);
+    void refresh_quotas(const manifest::manifest& manifest, common::time_point now);
+
+    const configuration::holder& m_configuration;
+    const membership::view& m_view;
+    loan::agent& m_loans;
+    home::home& m_home;
+    const common::clock& m_clock;
+    quota::share_book m_shares;
+    mutable std::mutex m_mutex;
+    std::vector<membership::team_demand> m_told; // guarded by m_mutex
+};
+
+} // namespace savorytrail::entry
--- a/source/core/membership/heartbeat.cpp
+++ b/source/core/membership/heartbeat.cpp
@@ -32,6 +32,7 @@
         auto* element = out.add_demand();
         element->set_team(it.team);
         element->set_tasks_per_second(it.tasks_per_second);
+        element->set_share(it.share);
     }
     return out;
 }
@@ -48,7 +49,7 @@
     for (const auto& it : message.idle())
         value.idle.push_back({it.upstream(), it.slots()});
     for (const auto& it : message.demand())
-        value.demand.push_back({it.team(), it.tasks_per_second()});
+        value.demand.push_back({it.team(), it.tasks_per_second(), it.share()});
     return value;
 }
 
--- a/source/core/membership/heartbeat.h
+++ b/source/core/membership/heartbeat.h
@@ -28,6 +28,7 @@
 struct team_demand {
     std::uint32_t team = 0; // name_number() of the team
     std::uint32_t tasks_per_second = 0;
+    std::uint32_t share = 0; // tasks per second that the sender allows itself
 
     bool operator==(const team_demand&) const = default;
 };
--- a/source/core/membership/view.cpp
+++ b/source/core/membership/view.cpp
@@ -59,7 +59,7 @@
     }
     for (const auto& told : it.demand) {
         if (known.demand.size() < kept_told || known.demand.contains(told.team))
-            known.demand[told.team] = {told.tasks_per_second, now};
+            known.demand[told.team] = {told, now};
     }
     return true;
 }
@@ -191,11 +191,11 @@
             continue;
         for (const auto& [team, told] : it.demand) {
             if (now - told.at <= newest)
-                values.push_back({it.vm.name, team, told.value});
+                values.push_back({it.vm.name, told.told});
         }
     }
     std::sort(values.begin(), values.end(), [](const auto& a, const auto& b) {
-        return std::tie(a.vm, a.team) < std::tie(b.vm, b.team);
+        return std::tie(a.vm, a.told.team) < std::tie(b.vm, b.told.team);
     });
     return values;
 }
--- a/source/core/membership/view.h
+++ b/source/core/membership/view.h
@@ -65,8 +65,7 @@
 
 struct fleet_demand {
     std::string vm;
-    std::uint32_t team = 0; // name_number() of the team
-    std::uint32_t tasks_per_second = 0;
+    team_demand told;
 
     bool operator==(const fleet_demand&) const = default;
 };
@@ -110,6 +109,11 @@
         common::time_point at;
     };
 
+    struct timed_demand {
+        team_demand told;
+        common::time_point at;
+    };
+
     struct record {
         platform::vm vm;
         common::time_point listed_since;
@@ -120,8 +124,8 @@
         int beats_to_return = 0;
         int flaps = 0; // silences within flap_window of one another
         common::time_point last_flap;
-        absl::flat_hash_map<std::uint32_t, timed_value> idle;   // by upstream
-        absl::flat_hash_map<std::uint32_t, timed_value> demand; // by team
+        absl::flat_hash_map<std::uint32_t, timed_value> idle;    // by upstream
+        absl::flat_hash_map<std::uint32_t, timed_demand> demand; // by team
     };
 
     common::milliseconds silence_limit(const record& it) const;
--- a/source/unit_tests/membership/heartbeat_test.cpp
+++ b/source/unit_tests/membership/heartbeat_test.cpp
@@ -26,7 +26,7 @@
     for (std::uint32_t i = 0; i < 20; i++)
         it.idle.push_back({0xf0000000U + i, 100 + i});
     for (std::uint32_t i = 0; i < 160; i++)
-        it.demand.push_back({0xf0000000U + i, 2000 + i});
+        it.demand.push_back({0xf0000000U + i, 2000 + i, 300 + i});
     return it;
 }
 
--- a/source/unit_tests/membership/view_test.cpp
+++ b/source/unit_tests/membership/view_test.cpp
@@ -153,11 +153,11 @@
 TEST_F(view_rules, idle_slots_and_demand_are_told_while_fresh) {
     auto it = beat("b", 1);
     it.idle = {{7, 3}};
-    it.demand = {{9, 40}};
+    it.demand = {{9, 40, 25}};
     m_view.hear(it, m_now);
     m_view.hear(beat("b", 2), m_now); // of other elements' turn
     EXPECT_EQ(m_view.idle(7, seconds(2), m_now), (std::vector<idle_slots>{{"b", 7, 3}}));
-    EXPECT_EQ(m_view.demand(seconds(2), m_now), (std::vector<fleet_demand>{{"b", 9, 40}}));
+    EXPECT_EQ(m_view.demand(seconds(2), m_now), (std::vector<fleet_demand>{{"b", {9, 40, 25}}}));
     m_now += seconds(3);
     EXPECT_TRUE(m_view.idle(7, seconds(2), m_now).empty());
     EXPECT_TRUE(m_view.demand(seconds(2), m_now).empty());
