--- a/source/benchmarks/measure/run.cpp
+++ b/source/benchmarks/measure/run.cpp
@@ -91,7 +91,10 @@
     double sum = 0;
     for (const auto& [kind, count] : after.messages) {
         const auto earlier = before.messages.find(kind);
-        const double n = count - (earlier == before.messages.end() ? 0 : earlier->second);
+        // The entries count requests, each with one answer; a heartbeat has none.
+        const double messages = kind == "{kind=\"heartbeat\"}" ? 1 : 2;
+        const double n =
+            messages * (count - (earlier == before.messages.end() ? 0 : earlier->second));
         by_kind[kind] = n / tasks;
         sum += n / tasks;
     }
--- a/source/core/entry/entry.cpp
+++ b/source/core/entry/entry.cpp
@@ -107,7 +107,7 @@
           }),
       m_home(m_ids, m_ledger, m_dispatcher, m_clock, {},
              [this](home::outgoing_task task) { m_requester.send(std::move(task)); }),
-      m_platform(make_platform_options(settings)),
+      m_platform(make_platform_options(settings), [this] { m_metrics.count_message("platform"); }),
       m_view(make_node(settings), make_view_limits(settings)),
       m_peers(m_channels, ms(settings.peers().call_timeout_ms()),
               [this] { m_metrics.count_message("forward"); }),
@@ -115,7 +115,8 @@
               {settings.node().name(), m_ids.self(), ms(settings.peers().call_timeout_ms())},
               {[this](std::vector<dispatch::start> starts) { m_home.begin(std::move(starts)); },
                [this](const std::string& vm) { return address_of(vm); },
-               [this](const std::string& vm) { return m_directory.takes_new_work(vm); }}),
+               [this](const std::string& vm) { return m_directory.takes_new_work(vm); },
+               [this] { m_metrics.count_message("loan"); }}),
       m_exchange(m_configuration, m_view, m_loans, m_home, m_clock), m_heirs(m_platform, m_clock),
       m_inherited(m_clock, {settings.submissions().max_kept_bytes()}),
       m_handover(m_channels, ms(settings.peers().call_timeout_ms())),
@@ -139,7 +140,8 @@
       m_follower(
           make_follower_options(settings, m_ids.self()),
           {m_platform, m_platform, m_channels, m_configuration, m_directory, m_view, m_clock},
-          [this](membership::heartbeat& it) { m_exchange.contribute(it); }) {
+          [this](membership::heartbeat& it) { m_exchange.contribute(it); },
+          [this](std::string_view kind) { m_metrics.count_message(kind); }) {
     m_home.set_observer(m_watcher);
     m_configuration.subscribe([this](const configuration::holder::pointer& it) {
         const std::shared_ptr<const manifest::manifest> value(it, &it->value);
--- a/source/core/loan/agent.cpp
+++ b/source/core/loan/agent.cpp
@@ -144,6 +144,7 @@
     const auto out = std::make_shared<call>();
     out->what = it;
     out->context.set_deadline(std::chrono::system_clock::now() + m_options.call_timeout);
+    m_hooks.count_request();
     to_message(it.request, out->request);
     out->stub = schema::loan_peer::NewStub(m_channels.to(*address));
     out->stub->async()->exchange(
--- a/source/core/loan/agent.h
+++ b/source/core/loan/agent.h
@@ -35,6 +35,7 @@
     std::function<std::optional<common::endpoint>(const std::string& vm)> address_of;
     // False for a VM that is leaving: loans on its executors end.
     std::function<bool(const std::string& vm)> takes_new_work;
+    std::function<void()> count_request = [] {}; // called for each request to a peer
 };
 
 class agent {
--- a/source/core/platform/client.cpp
+++ b/source/core/platform/client.cpp
@@ -57,11 +57,12 @@
 
 } // namespace
 
-client::client(client_options options)
-    : m_reader(std::move(options.reader)),
+client::client(client_options options, std::function<void()> count_call)
+    : m_reader(std::move(options.reader)), m_count_call(std::move(count_call)),
       m_http(std::move(options.server), {options.call_timeout, options.call_timeout}) {}
 
 common::result<response> client::send(const request& message) {
+    m_count_call();
     auto answer = m_http.send(message);
     // When one connection has gone silent or broken, those opened before it are suspected too.
     if (!answer && answer.error() != error::unreachable)
--- a/source/core/platform/client.h
+++ b/source/core/platform/client.h
@@ -1,6 +1,7 @@
 // The platform's services over HTTP.
 #pragma once
 
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -21,7 +22,9 @@
 // Safe to call from any thread; each call takes a connection of its own.
 class client final : public table, public live_list, public object_store {
 public:
-    explicit client(client_options options);
+    // `count_call` is called for each call.
+    explicit client(
+        client_options options, std::function<void()> count_call = [] {});
 
     common::result<std::optional<row>> read_newer(const std::string& key,
                                                   std::uint64_t version) override;
@@ -37,6 +40,7 @@
     common::result<http::response> send(const http::request& message);
 
     const std::string m_reader;
+    const std::function<void()> m_count_call;
     http::client m_http;
 };
 
--- a/source/core/propagation/follower.cpp
+++ b/source/core/propagation/follower.cpp
@@ -22,10 +22,12 @@
 
 } // namespace
 
-follower::follower(follower_options options, follower_parts parts, contribute add)
+follower::follower(follower_options options, follower_parts parts, contribute add,
+                   message_counter count)
     : m_options(std::move(options)), m_parts(parts), m_add(std::move(add)),
-      m_started(parts.clock.now()), m_client(parts.channels, m_options.call_timeout),
-      m_last_heard(m_started), m_turn(m_options.self.low) {}
+      m_count(std::move(count)), m_started(parts.clock.now()),
+      m_client(parts.channels, m_options.call_timeout), m_last_heard(m_started),
+      m_turn(m_options.self.low) {}
 
 follower::~follower() {
     {
@@ -72,8 +74,10 @@
     const std::lock_guard lock(m_round_mutex);
     full.sequence = ++m_sequence;
     const auto datagram = encode(m_composer.next(full));
-    for (const auto& it : heartbeat_targets(m_parts.view.self(), peers, m_round++))
+    for (const auto& it : heartbeat_targets(m_parts.view.self(), peers, m_round++)) {
         m_socket.send(it.address, datagram);
+        m_count("heartbeat");
+    }
 }
 
 void follower::receive_heartbeats() {
@@ -214,6 +218,7 @@
 }
 
 bool follower::fetch_configuration(const common::endpoint& from) {
+    m_count("fetch");
     auto newer = m_client.fetch_configuration(from, m_parts.configuration.version());
     if (!newer)
         return false;
@@ -223,6 +228,7 @@
 }
 
 bool follower::fetch_live_list(const common::endpoint& from) {
+    m_count("fetch");
     const auto changes = m_client.fetch_live_list(from, m_parts.directory.revision());
     if (!changes)
         return false;
--- a/source/core/propagation/follower.h
+++ b/source/core/propagation/follower.h
@@ -7,6 +7,7 @@
 #include <condition_variable>
 #include <functional>
 #include <mutex>
+#include <string_view>
 #include <system_error>
 #include <thread>
 #include <vector>
@@ -49,8 +50,12 @@
 public:
     // Adds what the other subsystems tell of themselves: idle slots and demand.
     using contribute = std::function<void(membership::heartbeat&)>;
+    // Called for each message to a peer, with its kind.
+    using message_counter = std::function<void(std::string_view)>;
 
-    follower(follower_options options, follower_parts parts, contribute add);
+    follower(
+        follower_options options, follower_parts parts, contribute add,
+        message_counter count = [](std::string_view) {});
     ~follower();
     follower(const follower&) = delete;
     follower& operator=(const follower&) = delete;
@@ -91,6 +96,7 @@
     const follower_options m_options;
     const follower_parts m_parts;
     const contribute m_add;
+    const message_counter m_count;
     const common::time_point m_started;
     client m_client;
     membership::datagram_socket m_socket;
--- a/source/unit_tests/claim/claimer_test.cpp
+++ b/source/unit_tests/claim/claimer_test.cpp
@@ -24,6 +24,7 @@
 TEST_F(claimer_rules, concurrent_claims_of_a_key_agree_and_share_writes) {
     constexpr int callers = 40;
     std::vector<std::future<common::result<settled_claim>>> claims;
+    claims.reserve(callers);
     for (int i = 0; i < callers; i++) {
         claims.push_back(std::async(std::launch::async, [this, i] {
             return m_claimer.claim({row_key("t", std::to_string(i % 4)), row(i)}, bound);
