Planned stop waits for requests whose home is elsewhere

Cause: the stop waited for the entry's own submissions, and gave requests that it had passed on to another home half a second. Ruled out: the server closing connections (the log shows stop_ended at level warning after 500 ms). Now it waits for the rest of the grace, whose default is above the longest wait of a call. process_failures_test has the case: it failed before the change and passes after it. Test targets are all named <subsystem>_test.

--- a/source/core/entry/entry.cpp
+++ b/source/core/entry/entry.cpp
@@ -3,6 +3,7 @@
 
 #include <grpcpp/impl/codegen/service_type.h>
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 #include "absl/strings/str_cat.h"
@@ -196,7 +197,10 @@
         std::this_thread::sleep_for(drain_step);
     }
     hand_over_submissions();
-    const bool is_clean = m_front.drain(peer_stop_grace) && m_home.tasks_in_flight() == 0;
+    // Callers whose submissions have their home elsewhere are still waiting for it.
+    const auto used = std::chrono::duration_cast<common::milliseconds>(m_clock.now() - begun);
+    const bool is_drained = m_front.drain(std::max(grace - used, peer_stop_grace));
+    const bool is_clean = is_drained && m_home.tasks_in_flight() == 0;
     m_peer_server.stop(peer_stop_grace);
     m_follower.announce(membership::entry_state::left);
     log_line(is_clean ? severity::info : severity::warning, "stop_ended")
--- a/source/integration_tests/process_failures_test.cpp
+++ b/source/integration_tests/process_failures_test.cpp
@@ -93,6 +93,16 @@
     EXPECT_EQ(starts(), 8U * 3U);
 }
 
+TEST_F(process_failures, a_planned_stop_waits_for_requests_whose_home_is_elsewhere) {
+    const auto job = make_job("passed on", 2, 2500);
+    const auto id = new_id(entry(2));
+    auto waiting = submit_later(entry(0), id, job);
+    wait_for_starts(id, 2);
+    EXPECT_EQ(m_cluster.entry_process(0).stop(process_bound), 0);
+    const auto answer = waiting.get();
+    EXPECT_TRUE(is_whole(answer, job)) << answer.status << answer.text;
+}
+
 TEST_F(process_failures, service_goes_on_while_the_platform_is_down_and_entries_are_replaced) {
     ASSERT_FALSE(m_cluster.set_platform_fault({.mode = stand_ins::platform_mode::down}));
     const auto before = make_job("before", 3, 50);
