--- a/source/benchmarks/measure/run.cpp
+++ b/source/benchmarks/measure/run.cpp
@@ -101,6 +101,15 @@
     return {{"by_kind", by_kind}, {"sum", sum}};
 }
 
+// The work of the complete jobs of the measured span over what all slots could do in it. Jobs that
+// were admitted in the span count, also those that ended after it.
+double goodput_over_slots(const scenario& it, const run_options& options, const json& report) {
+    constexpr double ms_per_second = 1000;
+    const double complete = report["states"]["complete"].get<double>();
+    const double work_ms = complete * it.offered.mean_tasks * it.offered.mean_service_ms;
+    return work_ms / (static_cast<double>(slots_of(it)) * options.seconds * ms_per_second);
+}
+
 } // namespace
 
 std::optional<json> run(const scenario& it, const run_options& options) {
@@ -135,6 +144,7 @@
                 {"seed", options.seed},
                 {"slots", slots_of(it)},
                 {"answers_sound", *exit_code == 0},
+                {"goodput_over_slots", goodput_over_slots(it, options, report)},
                 {"double_starts", after.doubles},
                 {"starts", after.starts - before.starts},
                 {"messages_per_task", messages_per_task(before, after)},
