--- a/source/core/claim/claimer.cpp
+++ b/source/core/claim/claimer.cpp
@@ -8,7 +8,7 @@
 namespace savorytrail::claim {
 namespace {
 
-constexpr common::milliseconds deletion_period{1000};
+constexpr common::milliseconds deletion_period{250};
 
 } // namespace
 
