One reader of submissions for both ways, one reading of a fleet for both measurements

Submissions under ids and under client keys parsed the job and the wait with the same lines; the scenarios and the fleets at rest collected usage and messages with the same loop. Each is now one function. Behaviour is unchanged.

--- a/source/benchmarks/measure/capacity.cpp
+++ b/source/benchmarks/measure/capacity.cpp
@@ -60,22 +60,12 @@
     return true;
 }
 
-struct reading {
-    std::vector<usage> entries;
-    std::map<std::string, double> messages;
+struct reading : fleet_usage {
     json platform;
 };
 
 reading read(stand_ins::cluster& cluster) {
-    static const std::string s_messages = "savory_messages_total";
-    reading it;
-    for (std::size_t i = 0; i < cluster.entries().size(); i++) {
-        it.entries.push_back(read_usage(cluster.entry_process(i).id()));
-        for (const auto& [name, value] : read_metrics(cluster.entries()[i].callers)) {
-            if (name.starts_with(s_messages))
-                it.messages[name.substr(s_messages.size())] += value;
-        }
-    }
+    reading it{read_fleet(cluster), {}};
     const auto counters =
         stand_ins::call(cluster.platform(), http::method::get, "/control/counters");
     if (counters)
--- a/source/benchmarks/measure/run.cpp
+++ b/source/benchmarks/measure/run.cpp
@@ -47,23 +47,13 @@
     return true;
 }
 
-struct snapshot {
-    std::vector<usage> entries;
-    std::map<std::string, double> messages; // by kind, over all entries
+struct snapshot : fleet_usage {
     std::uint64_t starts = 0;
     std::uint64_t doubles = 0; // tasks that were started more than once
 };
 
 snapshot observe(stand_ins::cluster& cluster) {
-    static const std::string s_messages = "savory_messages_total";
-    snapshot it;
-    for (std::size_t i = 0; i < cluster.entries().size(); i++) {
-        it.entries.push_back(read_usage(cluster.entry_process(i).id()));
-        for (const auto& [name, value] : read_metrics(cluster.entries()[i].callers)) {
-            if (name.starts_with(s_messages))
-                it.messages[name.substr(s_messages.size())] += value;
-        }
-    }
+    snapshot it{read_fleet(cluster), 0, 0};
     if (const auto starts = cluster.read_starts()) {
         it.starts = starts.value().total;
         it.doubles = static_cast<std::uint64_t>(
--- a/source/benchmarks/measure/usage.cpp
+++ b/source/benchmarks/measure/usage.cpp
@@ -7,6 +7,7 @@
 #include <fstream>
 #include <sstream>
 
+#include "stand_ins/cluster/cluster.h"
 #include "stand_ins/cluster/http_call.h"
 
 namespace savorytrail::measure {
@@ -53,4 +54,17 @@
     return samples;
 }
 
+fleet_usage read_fleet(stand_ins::cluster& cluster) {
+    static const std::string s_messages = "savory_messages_total";
+    fleet_usage it;
+    for (std::size_t i = 0; i < cluster.entries().size(); i++) {
+        it.entries.push_back(read_usage(cluster.entry_process(i).id()));
+        for (const auto& [name, value] : read_metrics(cluster.entries()[i].callers)) {
+            if (name.starts_with(s_messages))
+                it.messages[name.substr(s_messages.size())] += value;
+        }
+    }
+    return it;
+}
+
 } // namespace savorytrail::measure
--- a/source/benchmarks/measure/usage.h
+++ b/source/benchmarks/measure/usage.h
@@ -5,9 +5,14 @@
 
 #include <map>
 #include <string>
+#include <vector>
 
 #include "core/common/endpoint.h"
 
+namespace savorytrail::stand_ins {
+class cluster;
+}
+
 namespace savorytrail::measure {
 
 struct usage {
@@ -20,4 +25,11 @@
 // The samples of a Prometheus page by name with labels.
 std::map<std::string, double> read_metrics(const common::endpoint& entry);
 
+struct fleet_usage {
+    std::vector<usage> entries;
+    std::map<std::string, double> messages; // by kind, over all entries
+};
+
+fleet_usage read_fleet(stand_ins::cluster& cluster);
+
 } // namespace savorytrail::measure
--- a/source/core/front/front.cpp
+++ b/source/core/front/front.cpp
@@ -37,6 +37,10 @@
     return std::min(common::milliseconds(n), most);
 }
 
+job::invalid_field bad_wait() {
+    return {"wait_ms", "must be a whole number of milliseconds"};
+}
+
 reply not_ready() {
     auto it = error_reply(503, "not_ready", "", "this entry issues no ids now; ask another");
     it.retry_after = stopping_retry;
@@ -59,6 +63,22 @@
     return error_reply(400, "invalid_field", what.field, what.message);
 }
 
+struct submission_request {
+    job::job job;
+    common::milliseconds wait{0};
+};
+
+std::variant<submission_request, job::invalid_field>
+read_submission(const httplib::Request& request, const front_limits& limits) {
+    auto job = job::parse_job(request.body, limits.job);
+    if (auto* what = std::get_if<job::invalid_field>(&job))
+        return std::move(*what);
+    const auto wait = read_wait(request, limits.max_wait, limits.max_wait);
+    if (!wait)
+        return bad_wait();
+    return submission_request{std::get<job::job>(std::move(job)), *wait};
+}
+
 } // namespace
 
 front::front(front_limits limits, submission::issuer& ids, routing::router& router,
@@ -149,36 +169,31 @@
 }
 
 reply front::submit(const httplib::Request& request) {
-    auto job = job::parse_job(request.body, m_limits.job);
-    if (const auto* what = std::get_if<job::invalid_field>(&job))
+    auto read = read_submission(request, m_limits);
+    if (const auto* what = std::get_if<job::invalid_field>(&read))
         return invalid(*what);
-    const auto wait = read_wait(request, m_limits.max_wait, m_limits.max_wait);
-    if (!wait)
-        return invalid({"wait_ms", "must be a whole number of milliseconds"});
-    return route(request.matches[1], peer::request_kind::submit, std::get<job::job>(std::move(job)),
-                 *wait);
+    auto& it = std::get<submission_request>(read);
+    return route(request.matches[1], peer::request_kind::submit, std::move(it.job), it.wait);
 }
 
 reply front::submit_with_key(const httplib::Request& request) {
     const std::string key = request.get_header_value("Idempotency-Key");
     if (!claim::is_valid_key(key))
         return invalid({"Idempotency-Key", "must be 1 to 128 letters, digits or . _ ~ -"});
-    auto job = job::parse_job(request.body, m_limits.job);
-    if (const auto* what = std::get_if<job::invalid_field>(&job))
+    auto read = read_submission(request, m_limits);
+    if (const auto* what = std::get_if<job::invalid_field>(&read))
         return invalid(*what);
-    const auto wait = read_wait(request, m_limits.max_wait, m_limits.max_wait);
-    if (!wait)
-        return invalid({"wait_ms", "must be a whole number of milliseconds"});
     if (!m_is_issuing || !m_sources.is_ready())
         return not_ready();
-    const auto it = m_keyed.submit(key, std::get<job::job>(std::move(job)), *wait);
-    return result_reply(it.result, submission::to_string(it.id));
+    auto& it = std::get<submission_request>(read);
+    const auto answered = m_keyed.submit(key, std::move(it.job), it.wait);
+    return result_reply(answered.result, submission::to_string(answered.id));
 }
 
 reply front::ask(const httplib::Request& request, peer::request_kind kind) {
     const auto wait = read_wait(request, m_limits.max_wait, common::milliseconds(0));
     if (!wait)
-        return invalid({"wait_ms", "must be a whole number of milliseconds"});
+        return invalid(bad_wait());
     return route(request.matches[1], kind, std::nullopt, *wait);
 }
 
