--- /dev/null
+++ b/source/integration_tests/cluster_test.cpp
@@ -0,0 +1,86 @@
+// The cluster that integration tests run on: its processes, its routes and its faults.
+#include "stand_ins/cluster/cluster.h"
+
+#include <gtest/gtest.h>
+
+#include <csignal>
+
+#include "stand_ins/cluster/http_call.h"
+
+namespace savorytrail::stand_ins {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds bound(10'000);
+
+cluster_plan small_plan() {
+    cluster_plan plan;
+    plan.domains = {{"zilina", 2, 1}, {"banska", 1, 1}};
+    plan.executors_behind_proxy = true;
+    return plan;
+}
+
+class cluster_test : public testing::Test {
+protected:
+    void SetUp() override { ASSERT_FALSE(m_cluster.start_surroundings()); }
+
+    // Status of a task sent to the executor as the manifest names it; 0 when it was not reached.
+    int run_task(std::size_t index) {
+        const auto answer =
+            call(m_cluster.executors().at(index).published, http::method::post, "/work/a", "body");
+        return answer ? answer.value().status : 0;
+    }
+
+    // The addresses of all VMs as one entry reads them.
+    std::string list_as_seen_by(const std::string& reader) {
+        const auto answer =
+            call(m_cluster.platform(), http::method::get, "/v1/vms?newer_than=0&reader=" + reader);
+        return answer ? answer.value().body : "";
+    }
+
+    cluster m_cluster{small_plan()};
+};
+
+TEST_F(cluster_test, faults_concern_the_named_executor_until_healed) {
+    ASSERT_FALSE(m_cluster.set_fault_to_executor(0, {.mode = proxy_mode::cut}));
+    EXPECT_EQ(run_task(0), 0);
+    EXPECT_EQ(run_task(1), 200);
+    ASSERT_FALSE(m_cluster.heal());
+    EXPECT_EQ(run_task(0), 200);
+    ASSERT_FALSE(m_cluster.set_executor_behaviour(1, {.mode = executor_mode::fail}));
+    EXPECT_EQ(run_task(1), 500);
+    EXPECT_EQ(m_cluster.read_starts().value().total, 3U);
+}
+
+TEST_F(cluster_test, entries_see_their_peers_at_the_proxy) {
+    const auto& [name, domain, region, callers, peers, platform] = m_cluster.entries().at(0);
+    EXPECT_NE(list_as_seen_by("zilina-1").find(peers.to_string()), std::string::npos);
+    EXPECT_EQ(list_as_seen_by("zilina-2").find(peers.to_string()), std::string::npos);
+    EXPECT_TRUE(call(platform, http::method::get, "/v1/vms").has_value());
+    ASSERT_FALSE(m_cluster.set_fault_to_platform("zilina", {.mode = proxy_mode::cut}));
+    EXPECT_FALSE(call(platform, http::method::get, "/v1/vms").has_value());
+    EXPECT_TRUE(call(m_cluster.entries().at(2).platform, http::method::get, "/v1/vms").has_value());
+}
+
+TEST_F(cluster_test, processes_stop_are_killed_and_start_again) {
+    EXPECT_EQ(m_cluster.executor_process(0).stop(bound), EXIT_SUCCESS);
+    EXPECT_EQ(run_task(0), 0);
+    ASSERT_FALSE(m_cluster.start_executor(0));
+    EXPECT_EQ(run_task(0), 200);
+    m_cluster.executor_process(0).kill();
+    EXPECT_EQ(m_cluster.executor_process(0).wait_for_exit(bound), 128 + SIGKILL);
+}
+
+TEST(process_test, reports_a_program_that_fails) {
+    const auto file = testing::TempDir() + "savory_process_test.err";
+    process it({"stand_in_platform", {"--listen", "nowhere"}, file});
+    ASSERT_FALSE(it.spawn());
+    EXPECT_TRUE(it.wait_until_ready(bound));
+    EXPECT_EQ(it.wait_for_exit(bound), EXIT_FAILURE);
+    EXPECT_NE(it.errors().find("nowhere"), std::string::npos);
+    std::filesystem::remove(file);
+}
+
+} // namespace
+} // namespace savorytrail::stand_ins
--- /dev/null
+++ b/source/stand_ins/cluster/cluster.cpp
@@ -0,0 +1,208 @@
+// Starting a cluster's processes and bringing them together.
+#include "stand_ins/cluster/cluster.h"
+
+#include <glog/logging.h>
+
+#include <cstdlib>
+#include <fstream>
+#include <thread>
+
+#include "nlohmann/json.hpp"
+#include "stand_ins/cluster/http_call.h"
+
+namespace savorytrail::stand_ins {
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+constexpr milliseconds ready_bound(30'000);
+constexpr milliseconds apply_bound(30'000);
+constexpr milliseconds ask_interval(20);
+constexpr milliseconds ask_bound(1'000);
+
+std::filesystem::path make_folder() {
+    auto pattern = (std::filesystem::temp_directory_path() / "savory-cluster-XXXXXX").string();
+    const char* made = mkdtemp(pattern.data());
+    return made != nullptr ? made : "";
+}
+
+} // namespace
+
+bool wait_until(const std::function<bool()>& condition, milliseconds bound) {
+    const auto end = std::chrono::steady_clock::now() + bound;
+    while (!condition()) {
+        if (std::chrono::steady_clock::now() >= end)
+            return false;
+        std::this_thread::sleep_for(ask_interval);
+    }
+    return true;
+}
+
+cluster::cluster(cluster_plan plan)
+    : m_plan(std::move(plan)), m_addresses(m_lock.octet()), m_folder(make_folder()) {
+    lay_out();
+    m_executor_processes.resize(m_executors.size());
+    m_entry_processes.resize(m_entries.size());
+}
+
+cluster::~cluster() {
+    m_entry_processes.clear();
+    m_executor_processes.clear();
+    m_proxy.reset();
+    m_platform.reset();
+    if (std::getenv("SAVORY_KEEP_FILES") == nullptr)
+        std::filesystem::remove_all(m_folder);
+}
+
+void cluster::lay_out() {
+    for (std::size_t domain = 0; domain < m_plan.domains.size(); domain++) {
+        const auto& plan = m_plan.domains[domain];
+        for (std::size_t i = 0; i < plan.entries; i++) {
+            const auto name = plan.name + "-" + std::to_string(i + 1);
+            m_entries.push_back({name, plan.name, m_plan.region, m_addresses.callers(domain, i),
+                                 m_addresses.peers(domain, i),
+                                 m_addresses.platform_route(m_entries.size())});
+        }
+        for (std::size_t i = 0; i < plan.executors; i++) {
+            const auto name = plan.name + "-executor-" + std::to_string(i + 1);
+            const auto address = m_addresses.executor(m_executors.size());
+            const auto published = m_plan.executors_behind_proxy
+                                       ? m_addresses.executor_route(m_executors.size())
+                                       : address;
+            m_executors.push_back({name, plan.name, address, published});
+        }
+    }
+}
+
+std::error_code cluster::start() {
+    return start(manifest());
+}
+
+std::error_code cluster::start(const std::string& manifest) {
+    if (const auto ec = start_surroundings())
+        return ec;
+    if (apply(manifest) != EXIT_SUCCESS)
+        return make_error_code(common::error::malformed);
+    for (std::size_t i = 0; i < m_entries.size(); i++) {
+        if (const auto ec = start_entry(i))
+            return ec;
+    }
+    for (std::size_t i = 0; i < m_entries.size(); i++) {
+        if (!wait_until_ready(i, ready_bound)) {
+            LOG(ERROR) << m_entries[i].name << " is not ready: " << entry_process(i).errors();
+            return make_error_code(common::error::timed_out);
+        }
+    }
+    return {};
+}
+
+std::error_code cluster::start_surroundings() {
+    if (m_lock.octet() == 0 || m_folder.empty())
+        return make_error_code(common::error::unavailable);
+    if (const auto ec = start_stand_ins())
+        return ec;
+    if (const auto ec = announce_vms())
+        return ec;
+    if (const auto ec = add_peer_routes())
+        return ec;
+    return add_other_routes();
+}
+
+std::string cluster::manifest(manifest_options options) const {
+    options.slots = m_plan.slots;
+    options.connections = m_plan.connections;
+    return manifest_text(options, m_executors);
+}
+
+std::optional<int> cluster::apply(const std::string& manifest) {
+    const auto file = write_file("manifest.toml", manifest);
+    const auto url = "http://" + platform().to_string();
+    std::unique_ptr<process> savoryctl;
+    if (spawn(savoryctl, "savoryctl", "savoryctl", {"apply", "--platform", url, file}))
+        return std::nullopt;
+    const auto code = savoryctl->wait_for_exit(apply_bound);
+    LOG_IF(ERROR, code != EXIT_SUCCESS) << "savoryctl apply: " << savoryctl->errors();
+    return code;
+}
+
+std::error_code cluster::start_entry(std::size_t entry) {
+    const auto& it = m_entries.at(entry);
+    const auto file = write_file(it.name + ".toml", settings_text(it, m_plan.settings));
+    auto& child = m_entry_processes[entry];
+    if (const auto ec = spawn(child, it.name, "savory-entry", {"--settings", file}))
+        return ec;
+    return await_ready(*child, it.name);
+}
+
+std::error_code cluster::start_executor(std::size_t index) {
+    const auto& it = m_executors.at(index);
+    auto& child = m_executor_processes[index];
+    if (const auto ec =
+            spawn(child, it.name, "stand_in_executor",
+                  {"--listen", it.address.to_string(), "--slots", std::to_string(m_plan.slots),
+                   "--connections", std::to_string(m_plan.connections)}))
+        return ec;
+    return await_ready(*child, it.name);
+}
+
+bool cluster::wait_until_ready(std::size_t entry, milliseconds bound) {
+    const auto ready = [&] {
+        const auto answer =
+            call(m_entries.at(entry).callers, http::method::get, "/readyz", "", ask_bound);
+        return answer && answer.value().status == 200;
+    };
+    return wait_until(ready, bound);
+}
+
+std::error_code cluster::spawn(std::unique_ptr<process>& it, const std::string& name,
+                               const std::string& program, std::vector<std::string> arguments) {
+    it = std::make_unique<process>(
+        process_options{program, std::move(arguments), m_folder / (name + ".err")});
+    const auto ec = it->spawn();
+    LOG_IF(ERROR, ec) << "starting " << name << ": " << ec.message();
+    return ec;
+}
+
+std::error_code cluster::await_ready(process& it, const std::string& name) const {
+    const auto ec = it.wait_until_ready(ready_bound);
+    LOG_IF(ERROR, ec) << name << " does not serve: " << ec.message() << ": " << it.errors();
+    return ec;
+}
+
+std::error_code cluster::start_stand_ins() {
+    if (const auto ec = spawn(m_platform, "platform", "stand_in_platform",
+                              {"--listen", m_addresses.platform().to_string(), "--list-lag-ms",
+                               std::to_string(m_plan.list_lag.count())}))
+        return ec;
+    if (const auto ec = spawn(m_proxy, "proxy", "stand_in_proxy",
+                              {"--control", m_addresses.proxy_control().to_string()}))
+        return ec;
+    for (std::size_t i = 0; i < m_executors.size(); i++) {
+        if (const auto ec = start_executor(i))
+            return ec;
+    }
+    if (const auto ec = await_ready(*m_platform, "platform"))
+        return ec;
+    return await_ready(*m_proxy, "proxy");
+}
+
+std::error_code cluster::announce_vms() {
+    for (std::size_t i = 0; i < m_entries.size(); i++) {
+        if (const auto ec = set_entry_state(i, "live"))
+            return ec;
+    }
+    for (std::size_t i = 0; i < m_executors.size(); i++) {
+        if (const auto ec = set_executor_state(i, "live"))
+            return ec;
+    }
+    return {};
+}
+
+std::string cluster::write_file(const std::string& name, const std::string& text) const {
+    const auto path = m_folder / name;
+    std::ofstream(path) << text;
+    return path.string();
+}
+
+} // namespace savorytrail::stand_ins
--- /dev/null
+++ b/source/stand_ins/cluster/http_call.h
@@ -0,0 +1,25 @@
+// Single HTTP calls of a test.
+#pragma once
+
+#include <chrono>
+#include <string>
+#include <system_error>
+
+#include "core/common/endpoint.h"
+#include "core/common/error.h"
+#include "core/http/client.h"
+
+namespace savorytrail::stand_ins {
+
+constexpr std::chrono::milliseconds default_call_bound{10'000};
+
+// One call on a connection of its own.
+common::result<http::response> call(const common::endpoint& server, http::method verb,
+                                    const std::string& path, const std::string& body = "",
+                                    std::chrono::milliseconds bound = default_call_bound);
+
+// A control call; every status but 200 is error::unavailable.
+std::error_code put(const common::endpoint& server, const std::string& path,
+                    const std::string& body);
+
+} // namespace savorytrail::stand_ins
--- a/source/stand_ins/executor/executor.h
+++ b/source/stand_ins/executor/executor.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <memory>
 #include <mutex>
+#include <string_view>
 #include <system_error>
 
 #include "core/common/endpoint.h"
@@ -24,6 +25,8 @@
     closed, // closes the connection after reading the request
 };
 
+std::string_view name_of(executor_mode mode);
+
 struct executor_behaviour {
     executor_mode mode = executor_mode::normal;
     double factor = 1;
--- a/source/stand_ins/platform/fault_switch.h
+++ b/source/stand_ins/platform/fault_switch.h
@@ -18,6 +18,7 @@
 };
 
 std::optional<platform_mode> parse_platform_mode(std::string_view name);
+std::string_view name_of(platform_mode mode);
 
 struct platform_fault {
     platform_mode mode = platform_mode::up;
--- a/source/stand_ins/proxy/proxy_fault.h
+++ b/source/stand_ins/proxy/proxy_fault.h
@@ -19,6 +19,7 @@
 };
 
 std::optional<proxy_mode> parse_proxy_mode(std::string_view name);
+std::string_view name_of(proxy_mode mode);
 
 struct proxy_fault {
     proxy_mode mode = proxy_mode::pass;
