--- a/source/integration_tests/cluster_test.cpp
+++ b/source/integration_tests/cluster_test.cpp
@@ -5,6 +5,7 @@
 
 #include <csignal>
 
+#include "nlohmann/json.hpp"
 #include "stand_ins/cluster/http_call.h"
 
 namespace savorytrail::stand_ins {
@@ -72,6 +73,29 @@
     EXPECT_EQ(m_cluster.executor_process(0).wait_for_exit(bound), 128 + SIGKILL);
 }
 
+TEST(whole_cluster_test, serves_a_job_through_every_entry) {
+    cluster_plan plan;
+    plan.domains = {{"zilina", 2, 2}, {"banska", 2, 2}, {"martin", 2, 2}};
+    cluster it(plan);
+    ASSERT_FALSE(it.start());
+    const auto issued = call(it.entries().at(0).callers, http::method::post, "/v1/submission-ids",
+                             R"({"count":6})");
+    ASSERT_TRUE(issued.has_value());
+    const auto ids = nlohmann::json::parse(issued.value().body).at("ids");
+    for (std::size_t i = 0; i < it.entries().size(); i++) {
+        const auto path = "/v1/jobs/" + ids.at(i).get<std::string>() + "?wait_ms=10000";
+        const auto answer = call(it.entries()[i].callers, http::method::put, path,
+                                 R"({"team":"brana","upstream":"booking","deadline_ms":5000,
+                                     "tasks":[{"path":"/work/a?ms=1","body":"b"}]})");
+        ASSERT_TRUE(answer.has_value());
+        EXPECT_EQ(nlohmann::json::parse(answer.value().body)["state"], "complete")
+            << answer.value().body;
+    }
+    EXPECT_EQ(it.read_starts().value().total, 6U);
+    for (std::size_t i = 0; i < it.entries().size(); i++)
+        EXPECT_EQ(it.entry_process(i).stop(bound), EXIT_SUCCESS);
+}
+
 TEST(process_test, reports_a_program_that_fails) {
     const auto file = testing::TempDir() + "savory_process_test.err";
     process it({"stand_in_platform", {"--listen", "nowhere"}, file});
--- /dev/null
+++ b/source/stand_ins/callers/options.h
@@ -0,0 +1,53 @@
+// What load the callers make.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "core/common/clock.h"
+#include "core/common/endpoint.h"
+
+namespace savorytrail::stand_ins {
+
+// Whole numbers from `least` to `most`, both included.
+struct number_range {
+    std::uint64_t least = 1;
+    std::uint64_t most = 1;
+
+    bool operator==(const number_range&) const = default;
+};
+
+// Reads "N" or "N..M"; false when the text is neither, or the range is empty.
+bool parse_range(const std::string& text, number_range& range);
+
+struct job_options {
+    std::string team = "brana";
+    std::string upstream = "booking";
+    number_range tasks;
+    number_range service_ms{100, 100};
+    std::uint64_t deadline_ms = 30'000;
+    double expected_error = 1;       // declared times are off by up to this factor
+    double non_idempotent_share = 0; // of the tasks
+    std::size_t body_bytes = 64;     // of a task
+
+    bool operator==(const job_options&) const = default;
+};
+
+struct load_options {
+    std::vector<common::endpoint> entries;
+    double jobs_per_second = 10;
+    std::chrono::seconds duration{10};
+    std::chrono::seconds warm_up{0}; // before the duration; its jobs are left out of the report
+    std::uint64_t seed = 1;
+    job_options jobs;
+    std::size_t copies = 1;   // times that each job is sent, over different entries at once
+    double cancel_share = 0;  // of the jobs
+    std::size_t attempts = 5; // of a copy, under the same id, until the answer is final
+    std::size_t ids_per_call = 16;
+    std::size_t connections_per_entry = 8; // opened before the start; more follow as needed
+
+    bool operator==(const load_options&) const = default;
+};
+
+} // namespace savorytrail::stand_ins
