--- a/source/core/report/advice.cpp
+++ b/source/core/report/advice.cpp
@@ -43,6 +43,7 @@
     std::sort(reasons.rbegin(), reasons.rend());
     reasons.resize(std::min(reasons.size(), max_reasons));
     std::vector<std::string> steps;
+    steps.reserve(reasons.size());
     for (const auto& [n, reason] : reasons)
         steps.push_back(telemetry::format_number(n) + " answers " + reason + ": " +
                         step_for(reason));
--- a/source/core/report/run.cpp
+++ b/source/core/report/run.cpp
@@ -84,14 +84,19 @@
         err << options.manifest << ": is not a valid manifest; see savoryctl validate\n";
         return std::nullopt;
     }
-    manifest::objectives result;
-    for (auto it = scrapes.rbegin(); it != scrapes.rend(); ++it) {
-        const auto scrape = telemetry::parse_scrape(it->metrics);
-        if (scrape && read_objectives(*scrape, result))
-            return result;
+    std::optional<manifest::objectives> result;
+    double latest = 0;
+    for (const auto& it : scrapes) {
+        const auto scrape = telemetry::parse_scrape(it.metrics);
+        manifest::objectives found;
+        if (it.at < latest || !scrape || !read_objectives(*scrape, found))
+            continue;
+        latest = it.at;
+        result = found;
     }
-    err << "no scrape names objectives; give --manifest\n";
-    return std::nullopt;
+    if (!result)
+        err << "no scrape names objectives; give --manifest\n";
+    return result;
 }
 
 // Names on `err` each entry that no scrape of this run came from.
--- a/source/integration_tests/operations_test.cpp
+++ b/source/integration_tests/operations_test.cpp
@@ -1,8 +1,11 @@
 // What operators see of real processes: metrics that add up over the entries, and a job's story at
 // any entry.
+#include <cstdio>
 #include <nlohmann/json.hpp>
+#include <sstream>
 
 #include "core/http/client.h"
+#include "core/report/run.h"
 #include "core/telemetry/scrape.h"
 #include "integration_tests/fixture.h"
 
@@ -64,6 +67,29 @@
     EXPECT_GT(sum("process_resident_memory_bytes"), 0);
 }
 
+TEST_F(operations, the_burn_report_reads_real_entries) {
+    report::run_options options;
+    options.entries = {entry(0), entry(1)};
+    options.scrapes = 1;
+    options.save = testing::TempDir() + "savory_operations_scrapes";
+    options.json = true;
+    std::ostringstream out;
+    std::ostringstream err;
+    EXPECT_EQ(report::run(options, out, err), report::exit_status::fine) << err.str();
+    const auto job = make_job("seat", 2, 50);
+    EXPECT_TRUE(is_whole(submit(entry(0), new_id(entry(0)), job), job));
+    auto failing = make_job("seat", 1, 50);
+    failing.tasks[0].path = "/work/a?ms=5&status=500";
+    EXPECT_EQ(submit(entry(1), new_id(entry(1)), failing).state, "failed");
+
+    options.from = {options.save};
+    EXPECT_EQ(report::run(options, out, err), report::exit_status::burning) << err.str();
+    const auto result = nlohmann::json::parse(out.str());
+    EXPECT_EQ(result["answers"]["complete"], 1);
+    EXPECT_EQ(result["answers"]["lost_by_reason"], nlohmann::json({{"task_failed", 1}}));
+    std::remove(options.save.c_str());
+}
+
 TEST_F(operations, any_entry_tells_the_story_of_a_job) {
     const auto job = make_job("seat", 2, 50);
     const auto id = new_id(entry(0));
