Executors of a failure domain without entries serve the others

Cause: an entry held only executors of its own failure domain.

Change: fleet/adoption decides without network: silence, answers of the executors over 1.6 s, the table of entries with a sign of life each second while a domain is missed, and one executor on trial that must be idle. An executor that is taken back, or in use, ends the adoption for 10 s. A taken executor is claimed back after 0.3 s, doubling to 3 s, unless a live entry says that it holds it.

--- a/source/core/cell/executor_desk.cpp
+++ b/source/core/cell/executor_desk.cpp
@@ -18,6 +18,7 @@
 constexpr milliseconds no_room_pause{60};
 // Between looks at an executor on which others' runs are being stopped.
 constexpr milliseconds claim_look{25};
+constexpr std::string_view higher_fence = "another entry has a higher fence";
 
 } // namespace
 
@@ -31,13 +32,15 @@
     return it == m_executors.end() ? nullptr : it->second.get();
 }
 
-void executor_desk::assign(const std::vector<work::executor_info>& executors) {
+void executor_desk::assign(const std::vector<work::executor_info>& executors,
+                           const std::set<std::string>& adopted) {
     std::set<std::string> assigned;
     for (const auto& info : executors) {
         assigned.insert(info.id);
         auto& slot = m_executors[info.id];
         if (!slot) {
             slot = std::make_unique<executor_record>(info, m_limits, m_fences());
+            slot->is_adopted = adopted.contains(info.id);
             claim(*slot);
             continue;
         }
@@ -46,6 +49,7 @@
         }
         slot->info = info;
         slot->is_retiring = false;
+        slot->is_adopted = adopted.contains(info.id);
     }
     for (auto& [id, record] : m_executors) {
         if (!assigned.contains(id)) {
@@ -56,9 +60,17 @@
 }
 
 std::vector<std::string> executor_desk::held() const {
+    return in_state(holding::held);
+}
+
+std::vector<std::string> executor_desk::taken() const {
+    return in_state(holding::taken);
+}
+
+std::vector<std::string> executor_desk::in_state(holding state) const {
     std::vector<std::string> list;
     for (const auto& [id, record] : m_executors) {
-        if (record->state == holding::held) {
+        if (record->state == state) {
             list.push_back(id);
         }
     }
@@ -70,13 +82,26 @@
     ask(it, milliseconds(0));
 }
 
-void executor_desk::lose_hold(executor_record& it) {
+void executor_desk::lose_hold(executor_record& it, std::string_view reason) {
     if (it.state == holding::taken) {
         return;
     }
+    const auto now = m_clock.now();
+    it.takings = now - it.taken_at < m_limits.taking_memory ? it.takings + 1 : 1;
     it.state = holding::taken;
-    it.taken_at = m_clock.now();
-    m_observer.executor_changed(it.info.id, "executor_taken", "another entry has a higher fence");
+    it.taken_at = now;
+    m_observer.executor_changed(it.info.id, "executor_taken", reason);
+}
+
+void executor_desk::reclaim_if_due(executor_record& it) {
+    if (it.state != holding::taken || it.is_retiring || it.is_adopted || !it.runs.empty()) {
+        return;
+    }
+    const auto doubled = m_limits.first_reclaim * (1 << std::min(it.takings - 1, 8));
+    if (m_clock.now() - it.taken_at > std::min(doubled, m_limits.longest_reclaim)) {
+        it.fence = m_fences();
+        claim(it);
+    }
 }
 
 std::int64_t executor_desk::next_lease(const executor_record& it) const {
@@ -228,7 +253,7 @@
         it->clock.hear(*reply.clock_ms, now);
     }
     if (reply.said == verdict::fenced) {
-        lose_hold(*it);
+        lose_hold(*it, higher_fence);
     }
     const auto found = it->runs.find(run);
     if (found == it->runs.end()) {
@@ -278,7 +303,7 @@
         it->clock.hear(*reply.clock_ms, m_clock.now());
     }
     if (reply.said == verdict::fenced) {
-        lose_hold(*it);
+        lose_hold(*it, higher_fence);
         return;
     }
     const auto found = it->runs.find(run);
@@ -328,7 +353,7 @@
             it.fence = m_fences();
             it.next_question = now + m_limits.silent_retry;
         } else {
-            lose_hold(it);
+            lose_hold(it, higher_fence);
         }
         return;
     case work::verdict::other_life:
@@ -361,6 +386,11 @@
         it.born = report.born;
     }
     it.clock.hear(report.clock_ms, now);
+    if (it.state == holding::claiming && it.is_adopted && !report.running.empty()) {
+        // Somebody renews what runs there: the entry that it belongs to lives, and claims it back.
+        lose_hold(it, "it was taken for left, but is in use");
+        return;
+    }
     take_ends(it, report);
     take_running(it, asked, report);
     if (it.state == holding::claiming && it.strangers.empty()) {
@@ -463,11 +493,7 @@
     const auto now = m_clock.now();
     look_after_runs(it);
     renew_if_due(it);
-    if (it.state == holding::taken && !it.is_retiring &&
-        now - it.taken_at > m_limits.reclaim_after && it.runs.empty()) {
-        it.fence = m_fences();
-        claim(it);
-    }
+    reclaim_if_due(it);
     if (it.pending.empty() && now >= it.next_question) {
         ask_next(it);
     }
--- a/source/core/cell/executor_desk.h
+++ b/source/core/cell/executor_desk.h
@@ -71,10 +71,14 @@
 
     void set_listener(run_listener* listener) { m_listener = listener; }
 
-    // The executors that this entry is to hold from now on. Others are let go when their runs end.
-    void assign(const std::vector<work::executor_info>& executors);
+    // The executors that this entry is to hold from now on; `adopted` are those of them that it
+    // takes for left by their holders. Others are let go when their runs end.
+    void assign(const std::vector<work::executor_info>& executors,
+                const std::set<std::string>& adopted = {});
     // All executors that another entry must not claim yet.
     std::vector<std::string> held() const;
+    // Those whose latest word was that another holder has taken them.
+    std::vector<std::string> taken() const;
 
     bool start(const std::string& executor, const work::run_key& run, work::room occupied,
                common::milliseconds estimate, common::milliseconds limit,
@@ -100,8 +104,10 @@
     using record_map = std::map<std::string, std::unique_ptr<executor_record>>;
 
     executor_record* find(const std::string& executor);
+    std::vector<std::string> in_state(holding state) const;
     void claim(executor_record& it);
-    void lose_hold(executor_record& it);
+    void lose_hold(executor_record& it, std::string_view reason);
+    void reclaim_if_due(executor_record& it);
     void ask(executor_record& it, common::milliseconds wait);
     void ask_next(executor_record& it);
     void renew_if_due(executor_record& it);
--- a/source/core/cell/executor_record.h
+++ b/source/core/cell/executor_record.h
@@ -53,6 +53,8 @@
     executor_health health;
     holding state = holding::claiming;
     bool is_retiring = false; // gets nothing new; let go when nothing of ours is left
+    bool is_adopted = false;  // claimed on the belief that nobody uses it
+    int takings = 0;          // how often others have taken it, of late
     executor_clock clock;
     std::int64_t born = 0;         // of the life last heard from
     std::int64_t acknowledged = 0; // ends up to this one are noted
@@ -62,7 +64,7 @@
     work::room used;                   // by `runs`
     std::vector<pending_report> pending;
     common::time_point next_question; // not before
-    common::time_point taken_at;
+    common::time_point taken_at; // latest
     common::time_point no_room_until; // it rejected a start for want of room
     int silences = 0;                 // reports in a row without an answer
 
--- a/source/core/cell/limits.h
+++ b/source/core/cell/limits.h
@@ -32,8 +32,11 @@
     int failures_to_rest = 2;
     common::milliseconds first_rest{1500};
     common::milliseconds longest_rest{6000};
-    // After an executor was taken by another holder, before this one claims it again.
-    common::milliseconds reclaim_after{3000};
+    // After an executor was taken by another holder, before this one claims it again; doubles each
+    // time it is taken again before that is forgotten.
+    common::milliseconds first_reclaim{300};
+    common::milliseconds longest_reclaim{3000};
+    common::milliseconds taking_memory{10000};
     // The VM stood still for longer than this: others may have taken over meanwhile.
     common::milliseconds tolerated_suspension{100};
     // The same for a process that was kept from running while its clock went on.
--- /dev/null
+++ b/source/core/fleet/adoption.cpp
@@ -0,0 +1,167 @@
+#include "core/fleet/adoption.h"
+
+#include <utility>
+
+#include "core/common/rendezvous.h"
+
+namespace savorytrail::fleet {
+
+void adoption::set_listed(const std::vector<work::executor_info>& executors) {
+    m_listed.clear();
+    for (const auto& it : executors) {
+        m_listed[it.failure_domain].push_back(it);
+    }
+}
+
+void adoption::update(const view& fleet, common::time_point now) {
+    std::erase_if(m_orphaned_since, [&](const auto& it) {
+        return !m_listed.contains(it.first) || fleet.has_live_entry(it.first, now);
+    });
+    for (const auto& [domain, executors] : m_listed) {
+        if (!fleet.has_live_entry(domain, now)) {
+            m_orphaned_since.try_emplace(domain, now);
+        }
+    }
+    choose_candidates(fleet, now);
+}
+
+void adoption::choose_candidates(const view& fleet, common::time_point now) {
+    const auto known = std::exchange(m_candidates, {});
+    if (!misses_a_domain()) {
+        return;
+    }
+    std::vector<std::string> adopters;
+    for (const auto& domain : fleet.live_domains(now)) {
+        const auto listed = m_listed.find(domain);
+        const auto executors = listed == m_listed.end() ? 0 : listed->second.size();
+        const auto names = fleet.dispatchers(domain, executors, now);
+        adopters.insert(adopters.end(), names.begin(), names.end());
+    }
+    for (const auto& [domain, since] : m_orphaned_since) {
+        for (const auto& info : m_listed.at(domain)) {
+            if (common::rendezvous_choice(info.id, adopters) != fleet.self().name) {
+                continue;
+            }
+            const auto before = known.find(info.id);
+            auto& it = m_candidates[info.id];
+            it = before == known.end() ? candidate() : before->second;
+            it.info = info;
+        }
+    }
+}
+
+bool adoption::take_due_read(common::time_point now) {
+    if (!misses_a_domain() || (m_read_asked && now - *m_read_asked < m_limits.read_period)) {
+        return false;
+    }
+    m_read_asked = now;
+    return true;
+}
+
+void adoption::note_row(const std::string& entry, const std::string& domain, std::uint64_t version,
+                        common::time_point now) {
+    const auto [known, is_first] = m_rows.try_emplace(entry, version);
+    if (is_first || known->second == version) {
+        return;
+    }
+    known->second = version;
+    m_signs_until[domain] = now + m_limits.sign_time;
+}
+
+std::vector<work::executor_info> adoption::take_due_looks(common::time_point now) {
+    std::vector<work::executor_info> due;
+    for (auto& [id, it] : m_candidates) {
+        if (it.looked && now - *it.looked < m_limits.look_period) {
+            continue;
+        }
+        it.looked = now;
+        due.push_back(it.info);
+    }
+    return due;
+}
+
+void adoption::note_reached(const std::string& executor, common::time_point now) {
+    const auto found = m_candidates.find(executor);
+    if (found == m_candidates.end()) {
+        return;
+    }
+    auto& it = found->second;
+    if (!is_reachable(it, now)) {
+        it.first_reached = now;
+    }
+    it.last_reached = now;
+}
+
+void adoption::note_held(const std::string& executor, common::time_point now) {
+    const auto found = m_candidates.find(executor);
+    if (found != m_candidates.end() && !found->second.held_since) {
+        found->second.held_since = now;
+    }
+}
+
+void adoption::note_used(const std::string& domain, common::time_point now) {
+    m_signs_until[domain] = now + m_limits.use_time;
+    for (auto& [id, it] : m_candidates) {
+        if (it.info.failure_domain == domain) {
+            it.held_since.reset();
+        }
+    }
+}
+
+bool adoption::is_reachable(const candidate& it, common::time_point now) const {
+    return it.last_reached && now - *it.last_reached <= 3 * m_limits.look_period;
+}
+
+bool adoption::is_left(const std::string& domain, common::time_point now) const {
+    const auto since = m_orphaned_since.find(domain);
+    if (since == m_orphaned_since.end() || now - since->second < m_limits.patience) {
+        return false;
+    }
+    const auto sign = m_signs_until.find(domain);
+    return sign == m_signs_until.end() || now > sign->second;
+}
+
+bool adoption::may_be_claimed(const candidate& it, common::time_point now) const {
+    const auto earliest_read = m_orphaned_since.at(it.info.failure_domain) + m_limits.patience;
+    const bool is_read_since = m_last_read && *m_last_read >= earliest_read &&
+                               now - *m_last_read < 2 * m_limits.read_period;
+    return is_read_since && is_reachable(it, now) && now - *it.first_reached >= m_limits.reach_time;
+}
+
+std::set<std::string> adoption::tried_domains(common::time_point now) const {
+    std::set<std::string> domains;
+    for (const auto& [id, it] : m_candidates) {
+        if (it.held_since && now - *it.held_since >= m_limits.trial_time) {
+            domains.insert(it.info.failure_domain);
+        }
+    }
+    return domains;
+}
+
+std::vector<work::executor_info> adoption::adopted(const view& fleet,
+                                                   const std::set<std::string>& mine,
+                                                   common::time_point now) const {
+    const auto held_by_others = fleet.held_by_others(now);
+    const auto tried = tried_domains(now);
+    std::map<std::string, std::size_t> on_trial;
+    std::vector<work::executor_info> list;
+    for (const auto& [id, it] : m_candidates) {
+        if (mine.contains(id) && is_left(it.info.failure_domain, now)) {
+            list.push_back(it.info);
+            on_trial[it.info.failure_domain]++;
+        }
+    }
+    for (const auto& [id, it] : m_candidates) {
+        const auto& domain = it.info.failure_domain;
+        if (mine.contains(id) || held_by_others.contains(id) || !is_left(domain, now) ||
+            !may_be_claimed(it, now)) {
+            continue;
+        }
+        if (tried.contains(domain) || on_trial[domain]++ < m_limits.trials) {
+            list.push_back(it.info);
+        }
+    }
+    return list;
+}
+
+} // namespace savorytrail::fleet
--- a/source/core/fleet/beat.cpp
+++ b/source/core/fleet/beat.cpp
@@ -26,6 +26,9 @@
     for (const auto& id : it.held) {
         message.add_held(id);
     }
+    for (const auto& id : it.adopted) {
+        message.add_adopted(id);
+    }
     for (const auto& [name, ago] : it.heard) {
         auto* heard = message.add_heard();
         heard->set_name(name);
@@ -57,6 +60,7 @@
     it.cpu_share_millis = message.cpu_share_millis();
     it.its_load = {message.capacity_cpu_millis(), message.free_cpu_millis(), message.backlog_ms()};
     it.held.assign(message.held().begin(), message.held().end());
+    it.adopted.assign(message.adopted().begin(), message.adopted().end());
     for (const auto& heard : message.heard()) {
         it.heard[heard.name()] = common::milliseconds(heard.ms_ago());
     }
--- a/source/core/fleet/beat.h
+++ b/source/core/fleet/beat.h
@@ -38,7 +38,8 @@
     std::uint64_t configuration_version = 0;
     std::uint32_t cpu_share_millis = 0;
     load its_load;
-    std::vector<std::string> held;                     // executors
+    std::vector<std::string> held;                     // executors of the own failure domain
+    std::vector<std::string> adopted;                  // held executors of other domains
     std::map<std::string, common::milliseconds> heard; // by entry: how long ago
     std::vector<introduction> known;
 
--- a/source/core/fleet/view.cpp
+++ b/source/core/fleet/view.cpp
@@ -105,6 +105,37 @@
     return it != nullptr && is_live(*it, now);
 }
 
+std::set<std::string> view::live_domains(time_point now) const {
+    std::set<std::string> domains;
+    if (!m_self.is_leaving) {
+        domains.insert(m_self.failure_domain);
+    }
+    for (const auto& [name, it] : m_peers) {
+        if (!it.last.is_leaving && is_live(it, now)) {
+            domains.insert(it.failure_domain);
+        }
+    }
+    return domains;
+}
+
+bool view::has_live_entry(const std::string& domain, time_point now) const {
+    return domain == m_self.failure_domain ||
+           std::any_of(m_peers.begin(), m_peers.end(), [&](const auto& it) {
+               return it.second.failure_domain == domain && is_live(it.second, now);
+           });
+}
+
+std::set<std::string> view::held_by_others(time_point now) const {
+    std::set<std::string> held;
+    for (const auto& [name, it] : m_peers) {
+        if (is_live(it, now)) {
+            held.insert(it.last.held.begin(), it.last.held.end());
+            held.insert(it.last.adopted.begin(), it.last.adopted.end());
+        }
+    }
+    return held;
+}
+
 std::vector<std::string> view::take_lost(time_point now) {
     std::vector<std::string> lost;
     for (const auto& [name, it] : m_peers) {
@@ -205,15 +236,10 @@
         }
     }
     const auto names = dispatchers(m_self.failure_domain, near.size(), now);
-    std::set<std::string> held_by_others;
-    for (const auto& [name, it] : m_peers) {
-        if (is_near(it) && is_live(it, now)) {
-            held_by_others.insert(it.last.held.begin(), it.last.held.end());
-        }
-    }
+    const auto held = held_by_others(now);
     std::erase_if(near, [&](const work::executor_info& it) {
         return common::rendezvous_choice(it.id, names) != m_self.name ||
-               (held_by_others.contains(it.id) && !mine.contains(it.id));
+               (held.contains(it.id) && !mine.contains(it.id));
     });
     return near;
 }
--- a/source/core/fleet/view.h
+++ b/source/core/fleet/view.h
@@ -58,7 +58,7 @@
     void note_stall(common::milliseconds time, common::time_point now);
 
     // This entry's own beat and the addresses that are due one now. `held` goes to near entries
-    // only.
+    // only, `adopted` to all.
     struct outgoing {
         beat content;
         std::vector<common::endpoint> to;
@@ -66,6 +66,12 @@
     std::vector<outgoing> due(const beat& own, common::time_point now);
 
     const peer* find(const std::string& name) const;
+    // Failure domains with an entry that is live and stays, this entry's included.
+    std::set<std::string> live_domains(common::time_point now) const;
+    // Whether any entry of the domain is live, be it a leaving one.
+    bool has_live_entry(const std::string& domain, common::time_point now) const;
+    // Executors that live entries say they hold, as far as they tell this one.
+    std::set<std::string> held_by_others(common::time_point now) const;
     bool is_live(const std::string& name, common::time_point now) const;
     // Names of entries that were live at the last call and are not now.
     std::vector<std::string> take_lost(common::time_point now);
--- a/source/integration_tests/platform_entries_test.cpp
+++ b/source/integration_tests/platform_entries_test.cpp
@@ -94,5 +94,31 @@
     EXPECT_EQ(m_fleet.platform().running(), 0U);
 }
 
+class platform_domains : public testing::Test {
+public:
+    ~platform_domains() override = default;
+
+protected:
+    // Entry 0 and two executors in one failure domain, entry 1 and two executors in the other.
+    platform_fleet m_fleet{2, 4, {"a", "b"}};
+};
+
+TEST_F(platform_domains, executors_of_one_without_entries_serve_the_others_until_an_entry_is_back) {
+    ASSERT_TRUE(m_fleet.wait_until_serving(0));
+    ASSERT_TRUE(m_fleet.wait_until_serving(1));
+    m_fleet.entry(1).kill();
+    std::this_thread::sleep_for(seconds(5));
+    // Two tasks fit on an executor: with the own two alone it would take 1.8 s.
+    const auto begin = std::chrono::steady_clock::now();
+    EXPECT_EQ(m_fleet.submit(0, "27000 900", 6, 900), 200);
+    EXPECT_LT(std::chrono::steady_clock::now() - begin, milliseconds(1700));
+    m_fleet.start(1);
+    ASSERT_TRUE(m_fleet.wait_until_serving(1));
+    for (int i = 0; i < 4; i++) {
+        EXPECT_EQ(m_fleet.submit(1, "27000 100", 4, 100), 200) << i;
+    }
+    EXPECT_EQ(m_fleet.platform().violations(), 0U);
+}
+
 } // namespace
 } // namespace savorytrail
--- a/source/integration_tests/platform_fleet.cpp
+++ b/source/integration_tests/platform_fleet.cpp
@@ -10,9 +10,9 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-platform_fleet::platform_fleet(int entries, int executors)
-    : m_network("127." + std::to_string(m_lock.octet())),
-      m_platform({m_network, "a", executors, {64000, 131072, 0}}),
+platform_fleet::platform_fleet(int entries, int executors, std::vector<std::string> domains)
+    : m_network("127." + std::to_string(m_lock.octet())), m_domains(std::move(domains)),
+      m_platform({m_network, m_domains, executors, {64000, 131072, 0}}),
       m_folder(std::filesystem::temp_directory_path() / ("savory-" + m_network)),
       m_entries(entries) {
     std::filesystem::create_directories(m_folder);
@@ -37,7 +37,8 @@
 void platform_fleet::start(int entry) {
     const auto path = m_folder / (std::to_string(entry) + ".toml");
     std::ofstream(path) << "node = \"front-" << entry << "\"\nip = \"" << host(entry)
-                        << "\"\nzone = \"a\"\nportRange = [7720, 7735]\nseeds = [\"" << host(0)
+                        << "\"\nzone = \"" << m_domains[entry % m_domains.size()]
+                        << "\"\nportRange = [7720, 7735]\nseeds = [\"" << host(0)
                         << ":8166\"]\n[listen]\nfront = \"" << host(entry) << ":" << caller_port
                         << "\"\nready = \"" << host(entry) << ":" << ready_port
                         << "\"\n[limits]\ncpuShare = 0.25\n[bounds]\ngraceS = 6\n"
--- a/source/integration_tests/platform_fleet.h
+++ b/source/integration_tests/platform_fleet.h
@@ -18,7 +18,8 @@
     static constexpr int caller_port = 8161;
     static constexpr int ready_port = 8167;
 
-    platform_fleet(int entries, int executors);
+    // Entries and executors are in the failure domains in turn.
+    platform_fleet(int entries, int executors, std::vector<std::string> domains = {"a"});
     ~platform_fleet();
     platform_fleet(const platform_fleet&) = delete;
     platform_fleet& operator=(const platform_fleet&) = delete;
@@ -42,6 +43,7 @@
 private:
     const stand_ins::octet_lock m_lock;
     const std::string m_network;
+    const std::vector<std::string> m_domains;
     stand_ins::emulator m_platform;
     const std::filesystem::path m_folder;
     std::vector<std::unique_ptr<stand_ins::process>> m_entries;
--- a/source/integration_tests/process_failures_test.cpp
+++ b/source/integration_tests/process_failures_test.cpp
@@ -62,8 +62,10 @@
     std::this_thread::sleep_for(milliseconds(6000)); // longer than any timeout between entries
 
     m_cluster.entry_process(0).send_signal(SIGCONT);
-    EXPECT_TRUE(is_whole(waiting.get(), job));
-    EXPECT_TRUE(is_whole(submit_until_final(entry(2), id, job, process_bound), job));
+    const auto waited_for = waiting.get();
+    EXPECT_TRUE(is_whole(waited_for, job)) << waited_for.status << waited_for.text;
+    const auto later = submit_until_final(entry(2), id, job, process_bound);
+    EXPECT_TRUE(is_whole(later, job)) << later.text;
     EXPECT_EQ(starts_of(id), 40U);
 }
 
--- a/source/stand_ins/users_platform/emulator.cpp
+++ b/source/stand_ins/users_platform/emulator.cpp
@@ -51,7 +51,7 @@
         work::executor_info info;
         info.id = "i-" + std::to_string(i);
         info.address = {m_plan.network + ".1." + std::to_string(i + 1), executor_port};
-        info.failure_domain = m_plan.failure_domain;
+        info.failure_domain = m_plan.failure_domains[i % m_plan.failure_domains.size()];
         info.upstream = "upstream";
         info.capacity = m_plan.capacity;
         info.born = 1;
--- a/source/stand_ins/users_platform/emulator.h
+++ b/source/stand_ins/users_platform/emulator.h
@@ -20,7 +20,7 @@
 public:
     struct plan {
         std::string network; // "127.N": store at .0.1, executors at .1.x
-        std::string failure_domain;
+        std::vector<std::string> failure_domains; // of the executors, in turn
         int executors = 4;
         work::room capacity{64000, 131072, 0};
     };
--- a/source/unit_tests/fleet_view/view_test.cpp
+++ b/source/unit_tests/fleet_view/view_test.cpp
@@ -143,6 +143,7 @@
     it.configuration_version = 12;
     it.its_load = {100, 50, 7};
     it.held = {"x", "y"};
+    it.adopted = {"z"};
     it.heard["b"] = milliseconds(40);
     it.known = {{"c", "d", "10.0.0.1"}};
     EXPECT_EQ(decode_beat(encode(it)), it);
