An executor dropped from the platform's list stays listed for 2.5 s

Change: fleet/executor_list keeps a dropped executor for 2.5 s, which the users' rules give it to come back; it takes work only while it answers, as before. Test: executor_list_test.

--- /dev/null
+++ b/source/core/fleet/executor_list.h
@@ -0,0 +1,42 @@
+// The executors that the platform lists. One that is dropped from the list stays in it for a while:
+// the platform also drops executors that could not reach it, by an outage or a cut, and those are
+// back soon after.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/common/clock.h"
+#include "core/work/executor.h"
+
+namespace savorytrail::fleet {
+
+class executor_list {
+public:
+    explicit executor_list(common::milliseconds grace = common::milliseconds(2500))
+        : m_grace(grace) {}
+
+    void put(work::executor_info info);
+    void drop(const std::string& id, common::time_point now);
+    // The whole list was read anew: what is not put from now on until finish_reading() is dropped.
+    void begin_reading();
+    void finish_reading(common::time_point now);
+
+    // Forgets those dropped longer ago than the grace. Whether there were any.
+    bool expire(common::time_point now);
+    std::vector<work::executor_info> all() const;
+
+private:
+    struct entry {
+        work::executor_info info;
+        std::optional<common::time_point> dropped_at;
+        bool is_read = true; // since the latest begin_reading()
+    };
+
+    const common::milliseconds m_grace;
+    std::map<std::string, entry> m_entries; // by id
+};
+
+} // namespace savorytrail::fleet
--- /dev/null
+++ b/source/unit_tests/fleet_view/executor_list_test.cpp
@@ -0,0 +1,70 @@
+// Which executors count as listed while rows come and go.
+#include "core/fleet/executor_list.h"
+
+#include <gtest/gtest.h>
+
+namespace savorytrail::fleet {
+namespace {
+
+using common::milliseconds;
+
+work::executor_info make(const std::string& id, bool is_draining = false) {
+    work::executor_info it;
+    it.id = id;
+    it.is_draining = is_draining;
+    return it;
+}
+
+class listed : public testing::Test {
+protected:
+    listed() {
+        m_list.put(make("a"));
+        m_list.put(make("b"));
+    }
+
+    std::size_t count() const { return m_list.all().size(); }
+
+    common::time_point m_now = common::time_point(std::chrono::hours(1));
+    executor_list m_list;
+};
+
+// A cut zone: the platform drops the rows of executors that serve on, and they are back soon after.
+TEST_F(listed, one_that_is_back_in_time_was_never_away) {
+    m_list.drop("a", m_now);
+    m_now += milliseconds(2000);
+    EXPECT_FALSE(m_list.expire(m_now));
+    EXPECT_EQ(count(), 2U);
+    m_list.put(make("a"));
+    m_now += milliseconds(2000);
+    EXPECT_FALSE(m_list.expire(m_now));
+    EXPECT_EQ(count(), 2U);
+}
+
+TEST_F(listed, one_that_stays_away_is_gone) {
+    m_list.drop("a", m_now);
+    m_now += milliseconds(1500);
+    m_list.drop("a", m_now); // told again
+    m_now += milliseconds(1100);
+    EXPECT_TRUE(m_list.expire(m_now));
+    EXPECT_EQ(count(), 1U);
+}
+
+TEST_F(listed, one_that_drained_does_not_take_work_again) {
+    m_list.put(make("a", true));
+    m_list.drop("a", m_now);
+    EXPECT_TRUE(m_list.all().front().is_draining);
+}
+
+TEST_F(listed, a_list_read_anew_drops_what_it_lacks) {
+    m_list.begin_reading();
+    m_list.put(make("b"));
+    m_list.put(make("c"));
+    m_list.finish_reading(m_now);
+    EXPECT_EQ(count(), 3U);
+    EXPECT_TRUE(m_list.expire(m_now + milliseconds(2600)));
+    EXPECT_EQ(count(), 2U);
+    EXPECT_EQ(m_list.all().front().id, "b");
+}
+
+} // namespace
+} // namespace savorytrail::fleet
