Answers that came while the process stood still count

After a standstill longer than the task's time-out every answer that lay in the socket was thrown away, its task became unknown and the job failed.

Test: answers_that_came_while_the_home_was_frozen_count, failing before (24 starts, 24 tasks unknown), passing after.

--- a/source/core/http/client.cpp
+++ b/source/core/http/client.cpp
@@ -107,8 +107,12 @@
                                           milliseconds answer_timeout) const {
     const auto deadline = clock::now() + answer_timeout;
     auto out = to_library(message);
-    // The library's own timeout bounds a silence; this bounds an answer that trickles in.
-    out.progress = [deadline](std::uint64_t, std::uint64_t) { return clock::now() < deadline; };
+    // The library's own timeout bounds a silence; this bounds an answer that trickles in. What has
+    // arrived counts even when it is read late: this process may have stood still meanwhile.
+    out.progress = [&it, deadline](std::uint64_t bytes, std::uint64_t of) {
+        const bool is_whole = of > 0 && bytes >= of;
+        return is_whole || clock::now() < deadline || !is_quiet(it.client.socket());
+    };
     it.client.set_read_timeout(answer_timeout);
     const auto answer = it.client.send(out);
     if (!answer)
--- a/source/integration_tests/process_failures_test.cpp
+++ b/source/integration_tests/process_failures_test.cpp
@@ -19,7 +19,8 @@
 
 class process_failures : public running_cluster {
 protected:
-    process_failures() : running_cluster(two_domains()) {}
+    explicit process_failures(stand_ins::manifest_options options = {})
+        : running_cluster(two_domains(), std::move(options)) {}
 
     void wait_for_starts(const std::string& id, std::uint64_t count) {
         ASSERT_TRUE(stand_ins::wait_until([&] { return starts_of(id) >= count; }, process_bound));
@@ -69,6 +70,31 @@
     EXPECT_EQ(starts_of(id), 40U);
 }
 
+stand_ins::manifest_options with_short_task_timeout() {
+    stand_ins::manifest_options options;
+    options.upstream_lines = "task_timeout_ms = 2000";
+    return options;
+}
+
+class short_task_timeout : public process_failures {
+protected:
+    short_task_timeout() : process_failures(with_short_task_timeout()) {}
+};
+
+// The executors answer in time; the home reads that only when it wakes, after the time-out.
+TEST_F(short_task_timeout, answers_that_came_while_the_home_was_frozen_count) {
+    const auto job = make_job("frozen", 40, 100);
+    const auto id = new_id(entry(0));
+    auto waiting = submit_later(entry(0), id, job, 30000);
+    wait_for_starts(id, 1);
+    m_cluster.entry_process(0).send_signal(SIGSTOP);
+    std::this_thread::sleep_for(milliseconds(3000));
+    m_cluster.entry_process(0).send_signal(SIGCONT);
+    const auto answer = waiting.get();
+    EXPECT_TRUE(is_whole(answer, job)) << answer.text;
+    EXPECT_EQ(starts_of(id), 40U);
+}
+
 TEST_F(process_failures, a_planned_stop_cuts_no_request_and_an_heir_answers_afterwards) {
     std::vector<job_spec> jobs;
     std::vector<std::string> ids;
