--- /dev/null
+++ b/source/core/log_story/job_story.cpp
@@ -0,0 +1,264 @@
+#include "core/log_story/job_story.h"
+
+#include <algorithm>
+#include <set>
+
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
+
+namespace savorytrail::log_story {
+namespace {
+
+// What happens to entries and executors this long before or after an attempt may explain it: a
+// loss is noticed later than it happens.
+constexpr std::int64_t context_us = 2'000'000;
+// Without an answer, an attempt is taken to be over after this long.
+constexpr std::int64_t longest_attempt_us = 10'000'000;
+
+const std::set<std::string> entry_incidents = {"started",    "stopping",     "stopped",
+                                               "entry_lost", "loop_stalled", "lines_suppressed"};
+const std::set<std::string> executor_incidents = {"executor_taken",  "executor_silent",
+                                                  "executor_reborn", "executor_rested",
+                                                  "executor_let_go", "executor_adopted"};
+
+void sort_by_time(std::vector<log_event>& events) {
+    std::stable_sort(events.begin(), events.end(),
+                     [](const auto& a, const auto& b) { return a.at_us < b.at_us; });
+}
+
+bool is_within(const log_event& it, const attempt& of, std::int64_t margin_us) {
+    const auto end = of.end_us.value_or(of.begin_us + longest_attempt_us);
+    return it.at_us >= of.begin_us - margin_us && it.at_us <= end + margin_us;
+}
+
+std::vector<attempt> find_attempts(const std::vector<log_event>& events) {
+    std::vector<attempt> attempts;
+    for (const auto& it : events) {
+        if (it.is("job_taken")) {
+            attempts.push_back({it.node, it.at_us, std::nullopt, "", "", {}});
+            continue;
+        }
+        const bool is_end = it.is("job_answered") || it.is("job_abandoned");
+        const auto open =
+            std::find_if(attempts.rbegin(), attempts.rend(), [&](const attempt& candidate) {
+                return candidate.entry == it.node && !candidate.end_us;
+            });
+        if (is_end && open != attempts.rend()) {
+            open->end_us = it.at_us;
+            open->outcome = it.is("job_answered") ? it.field("detail") : "abandoned";
+        }
+    }
+    return attempts;
+}
+
+std::vector<log_event> events_of(const job_story& story, const attempt& of) {
+    std::vector<log_event> list;
+    std::copy_if(story.events.begin(), story.events.end(), std::back_inserter(list),
+                 [&](const log_event& it) { return is_within(it, of, 0); });
+    return list;
+}
+
+std::vector<std::string> details(const std::vector<log_event>& events, std::string_view name) {
+    std::vector<std::string> list;
+    for (const auto& it : events) {
+        const auto detail = it.field("detail");
+        if (it.is(name) && std::find(list.begin(), list.end(), detail) == list.end()) {
+            list.push_back(detail);
+        }
+    }
+    return list;
+}
+
+std::string with_entry(const log_event& it) {
+    return absl::StrCat(it.field("detail"), " (", it.node, ")");
+}
+
+std::string why_refused(const std::vector<log_event>& events) {
+    std::vector<std::string> reasons;
+    for (const auto& it : events) {
+        if (it.is("job_refused")) {
+            reasons.push_back(with_entry(it));
+        }
+    }
+    return reasons.empty() ? "refused; the entry that did is not in these logs"
+                           : "refused: " + absl::StrJoin(reasons, "; ");
+}
+
+// The entry that a lost way led to: the detail is "ENTRY: ERROR".
+std::string lost_target(const log_event& it) {
+    const auto detail = it.field("detail");
+    return detail.substr(0, detail.find(':'));
+}
+
+std::string what_became_of(const std::string& entry, const job_story& story, const attempt& of) {
+    std::set<std::string> missed_by;
+    bool is_started = false;
+    bool is_stopping = false;
+    for (const auto& it : story.incidents) {
+        if (!is_within(it, of, context_us)) {
+            continue;
+        }
+        if (it.is("entry_lost") && it.field("entry") == entry) {
+            missed_by.insert(it.node);
+        }
+        is_started = is_started || (it.is("started") && it.node == entry && it.at_us > of.begin_us);
+        is_stopping = is_stopping || (it.is("stopping") && it.node == entry);
+    }
+    if (is_stopping) {
+        return absl::StrCat(entry, " was stopping");
+    }
+    if (is_started) {
+        return absl::StrCat(entry, " started anew: its process had ended");
+    }
+    if (missed_by.empty()) {
+        return absl::StrCat("no entry missed ", entry, ": only the connection broke");
+    }
+    return absl::StrCat(entry, " was missed by ", missed_by.size(),
+                        missed_by.size() == 1 ? " entry" : " entries",
+                        ": it ended, stood still or was cut off");
+}
+
+std::string why_given_up(const std::vector<log_event>& events, const job_story& story,
+                         const attempt& of) {
+    for (const auto& it : events) {
+        if (it.is("pass_lost") && it.node == of.entry) {
+            return absl::StrCat("the way to its dispatcher broke; ",
+                                what_became_of(lost_target(it), story, of));
+        }
+    }
+    for (const auto& it : events) {
+        if (it.is("job_given_up")) {
+            return "given up: " + with_entry(it);
+        }
+    }
+    return "given up; the entry that did is not in these logs";
+}
+
+std::string why_failed(const std::vector<log_event>& events, const job_story& story) {
+    const auto executors = details(events, "task_failed");
+    if (executors.empty()) {
+        return "a task failed; the entry that ran it is not in these logs";
+    }
+    std::set<std::string> rested;
+    for (const auto& it : story.incidents) {
+        if (it.is("executor_rested")) {
+            rested.insert(it.field("executor"));
+        }
+    }
+    std::vector<std::string> bad;
+    std::copy_if(executors.begin(), executors.end(), std::back_inserter(bad),
+                 [&](const std::string& it) { return rested.contains(it); });
+    return absl::StrCat(
+        "tasks failed on ", absl::StrJoin(executors, ", "),
+        bad.empty() ? "; none of them failed others: the job itself can't be done"
+                    : absl::StrCat("; others' runs failed on ", absl::StrJoin(bad, ", "), " too"));
+}
+
+std::string why_succeeded(const attempt& of, const std::vector<log_event>& events) {
+    const auto ms = (*of.end_us - of.begin_us) / 1000;
+    auto text = absl::StrCat("served within ", ms, " ms");
+    const auto failed = details(events, "task_failed");
+    if (!failed.empty()) {
+        absl::StrAppend(&text, "; runs failed on ", absl::StrJoin(failed, ", "),
+                        " and were repeated");
+    }
+    return text;
+}
+
+std::string why_unanswered(const job_story& story, const attempt& of) {
+    for (const auto& it : story.incidents) {
+        if (it.is("started") && it.node == of.entry && it.at_us > of.begin_us) {
+            return absl::StrCat(of.entry, " ended while it had the job: it started anew ",
+                                (it.at_us - of.begin_us) / 1000, " ms later");
+        }
+    }
+    return absl::StrCat("no answer is told: ", what_became_of(of.entry, story, of));
+}
+
+std::string cause_of(const job_story& story, const attempt& of) {
+    const auto events = events_of(story, of);
+    if (of.outcome == "succeeded") {
+        return why_succeeded(of, events);
+    }
+    if (of.outcome == "not_run") {
+        return why_refused(events);
+    }
+    if (of.outcome == "given_up") {
+        return why_given_up(events, story, of);
+    }
+    if (of.outcome == "failed") {
+        return why_failed(events, story);
+    }
+    if (of.outcome == "abandoned") {
+        return "its caller left before the answer";
+    }
+    return why_unanswered(story, of);
+}
+
+std::vector<std::string> missing_of(const job_story& story, const attempt& of) {
+    const auto events = events_of(story, of);
+    std::vector<std::string> missing;
+    for (const auto& target : details(events, "job_passed")) {
+        const bool tells = std::any_of(events.begin(), events.end(),
+                                       [&](const log_event& it) { return it.node == target; });
+        if (!tells) {
+            missing.push_back(
+                absl::StrCat("it was passed to ", target, ", of which no line tells of it"));
+        }
+    }
+    for (const auto& it : story.incidents) {
+        if (it.is("lines_suppressed") && is_within(it, of, context_us)) {
+            missing.push_back(absl::StrCat(it.field("lines"), " lines of ", it.field("of"),
+                                           " were left out at ", it.node));
+        }
+    }
+    return missing;
+}
+
+std::vector<log_event> find_incidents(const job_story& story, const std::vector<log_event>& log) {
+    std::set<std::string> entries;
+    std::set<std::string> executors;
+    for (const auto& it : story.events) {
+        entries.insert(it.node);
+        if (it.is("job_passed")) {
+            entries.insert(it.field("detail"));
+        } else if (it.is("task_started")) {
+            executors.insert(it.field("detail"));
+        }
+    }
+    std::vector<log_event> list;
+    for (const auto& it : log) {
+        const bool is_of_entry =
+            entry_incidents.contains(it.name) &&
+            entries.contains(it.is("entry_lost") ? it.field("entry") : it.node);
+        const bool is_of_executor =
+            executor_incidents.contains(it.name) && executors.contains(it.field("executor"));
+        const bool is_meanwhile =
+            std::any_of(story.attempts.begin(), story.attempts.end(),
+                        [&](const attempt& of) { return is_within(it, of, context_us); });
+        if ((is_of_entry || is_of_executor) && is_meanwhile) {
+            list.push_back(it);
+        }
+    }
+    sort_by_time(list);
+    return list;
+}
+
+} // namespace
+
+job_story tell_story(const std::string& job, const std::vector<log_event>& log) {
+    job_story story;
+    story.job = job;
+    std::copy_if(log.begin(), log.end(), std::back_inserter(story.events),
+                 [&](const log_event& it) { return it.field("job") == job; });
+    sort_by_time(story.events);
+    story.attempts = find_attempts(story.events);
+    story.incidents = find_incidents(story, log);
+    for (auto& it : story.attempts) {
+        it.cause = cause_of(story, it);
+        it.missing = missing_of(story, it);
+    }
+    return story;
+}
+
+} // namespace savorytrail::log_story
--- /dev/null
+++ b/source/core/log_story/log_event.cpp
@@ -0,0 +1,128 @@
+#include "core/log_story/log_event.h"
+
+#include <array>
+#include <chrono>
+#include <cstdio>
+
+namespace savorytrail::log_story {
+namespace {
+
+constexpr std::string_view event_key = "event=";
+// As glog writes it: "I20260913 23:53:58.085685", a space, the thread, the place and a bracket.
+constexpr std::size_t stamp_length = 24;
+
+bool is_level(char c) {
+    return c == 'I' || c == 'W' || c == 'E' || c == 'F';
+}
+
+std::optional<std::int64_t> parse_stamp(std::string_view text) {
+    const std::string copy(text.substr(0, stamp_length));
+    int year = 0;
+    unsigned month = 0;
+    unsigned day = 0;
+    int hour = 0;
+    int minute = 0;
+    int second = 0;
+    int micros = 0;
+    if (std::sscanf(copy.c_str(), "%4d%2u%2u %2d:%2d:%2d.%6d", &year, &month, &day, &hour, &minute,
+                    &second, &micros) != 7) {
+        return std::nullopt;
+    }
+    const std::chrono::year_month_day date{std::chrono::year(year), std::chrono::month(month),
+                                           std::chrono::day(day)};
+    if (!date.ok()) {
+        return std::nullopt;
+    }
+    const std::chrono::sys_days days(date);
+    const std::int64_t seconds =
+        days.time_since_epoch().count() * 86400LL + hour * 3600 + minute * 60 + second;
+    return seconds * 1'000'000 + micros;
+}
+
+// The last stamp that begins before the event's text.
+std::optional<std::int64_t> find_stamp(std::string_view head) {
+    for (std::size_t i = head.size(); i-- > 0;) {
+        const bool begins = is_level(head[i]) && (i == 0 || head[i - 1] == ' ');
+        if (begins && head.size() - i > stamp_length) {
+            if (const auto at = parse_stamp(head.substr(i + 1))) {
+                return at;
+            }
+        }
+    }
+    return std::nullopt;
+}
+
+std::string take_quoted(std::string_view text, std::size_t& at) {
+    std::string value;
+    for (at++; at < text.size() && text[at] != '"'; at++) {
+        if (text[at] == '\\' && at + 1 < text.size()) {
+            at++;
+        }
+        value += text[at];
+    }
+    at++;
+    return value;
+}
+
+std::string take_value(std::string_view text, std::size_t& at) {
+    if (at < text.size() && text[at] == '"') {
+        return take_quoted(text, at);
+    }
+    const auto end = std::min(text.find(' ', at), text.size());
+    std::string value(text.substr(at, end - at));
+    at = end;
+    return value;
+}
+
+} // namespace
+
+std::string log_event::field(const std::string& key) const {
+    const auto it = fields.find(key);
+    return it == fields.end() ? "" : it->second;
+}
+
+std::optional<log_event> parse_log_line(std::string_view line) {
+    const auto start = line.find(event_key);
+    if (start == std::string_view::npos) {
+        return std::nullopt;
+    }
+    const auto stamp = find_stamp(line.substr(0, start));
+    if (!stamp) {
+        return std::nullopt;
+    }
+    log_event it;
+    it.at_us = *stamp;
+    std::size_t at = start;
+    while (at < line.size()) {
+        const auto equals = line.find('=', at);
+        if (equals == std::string_view::npos) {
+            break;
+        }
+        std::string key(line.substr(at, equals - at));
+        at = equals + 1;
+        it.fields[std::move(key)] = take_value(line, at);
+        at = std::min(line.find_first_not_of(' ', at), line.size());
+    }
+    it.name = it.field("event");
+    it.node = it.field("node");
+    it.fields.erase("event");
+    it.fields.erase("node");
+    it.fields.erase("domain");
+    if (it.name.empty() || it.node.empty()) {
+        return std::nullopt;
+    }
+    return it;
+}
+
+std::vector<log_event> read_log(std::istream& in) {
+    std::vector<log_event> events;
+    std::string line;
+    while (std::getline(in, line)) {
+        if (auto it = parse_log_line(line)) {
+            events.push_back(std::move(*it));
+        }
+    }
+    return events;
+}
+
+} // namespace savorytrail::log_story
--- /dev/null
+++ b/source/integration_tests/platform_explain_test.cpp
@@ -0,0 +1,113 @@
+// From the id of a failed request to its cause, by nothing but the logs that real processes wrote:
+// the three ways of docs/OPERATIONS.md, followed by `savoryctl explain`.
+#include <array>
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
+#include <gtest/gtest.h>
+#include <sys/wait.h>
+#include <thread>
+
+#include "integration_tests/platform_fleet.h"
+
+namespace savorytrail {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class explained : public testing::Test {
+public:
+    ~explained() override = default;
+
+protected:
+    void SetUp() override {
+        for (int i = 0; i < m_fleet.size(); i++) {
+            ASSERT_TRUE(m_fleet.wait_until_serving(i)) << i;
+        }
+    }
+
+    // Ends the entries that still run, and gives what all have written to the program.
+    std::string explain(const std::string& job) {
+        const auto folder = std::filesystem::temp_directory_path() / ("explain-" + job);
+        std::filesystem::create_directories(folder);
+        const char* const programs = std::getenv("SAVORY_BIN");
+        auto command =
+            std::string(programs != nullptr ? programs : ".") + "/savoryctl explain " + job;
+        for (int i = 0; i < m_fleet.size(); i++) {
+            m_fleet.entry(i).kill();
+            const auto path = folder / std::to_string(i);
+            std::ofstream(path) << m_fleet.entry(i).read_output();
+            command += " --log " + path.string();
+        }
+        std::string text;
+        FILE* const pipe = popen((command + " 2>&1").c_str(), "r");
+        std::array<char, 4096> buf{};
+        while (const std::size_t n = std::fread(buf.data(), 1, buf.size(), pipe)) {
+            text.append(buf.data(), n);
+        }
+        EXPECT_EQ(pclose(pipe), 0) << text;
+        std::filesystem::remove_all(folder);
+        return text;
+    }
+
+    platform_fleet m_fleet{2, 4};
+};
+
+TEST_F(explained, a_refusal_under_overload) {
+    constexpr int callers = 30;
+    std::array<std::string, callers> ids;
+    std::array<int, callers> statuses{};
+    std::vector<std::thread> threads;
+    threads.reserve(callers);
+    for (int i = 0; i < callers; i++) {
+        ids.at(i) = platform_fleet::new_id();
+        threads.emplace_back(
+            [&, i] { statuses.at(i) = m_fleet.submit(i % 2, "27000 700", 4, 700, ids.at(i)); });
+    }
+    for (auto& it : threads) {
+        it.join();
+    }
+    const auto refused = std::find(statuses.begin(), statuses.end(), 429);
+    ASSERT_NE(refused, statuses.end());
+    const auto text = explain(ids.at(refused - statuses.begin()));
+    EXPECT_NE(text.find("refused: "), std::string::npos) << text;
+    const bool has_reason = text.find("the wait would be too long") != std::string::npos ||
+                            text.find("more work comes than can be done") != std::string::npos ||
+                            text.find("overload, and its queue") != std::string::npos ||
+                            text.find("no executor became free in time") != std::string::npos;
+    EXPECT_TRUE(has_reason) << text;
+}
+
+TEST_F(explained, a_job_whose_dispatcher_died) {
+    // The entry that has run for longest dispatches: entry 0, once the other has started anew.
+    m_fleet.entry(1).kill();
+    m_fleet.start(1);
+    ASSERT_TRUE(m_fleet.wait_until_serving(1));
+    ASSERT_TRUE(m_fleet.wait_until_serving(0));
+    const auto id = platform_fleet::new_id();
+    int status = 0;
+    std::thread caller([&] { status = m_fleet.submit(1, "27000 900", 4, 900, id); });
+    std::this_thread::sleep_for(milliseconds(300));
+    m_fleet.entry(0).kill();
+    caller.join();
+    ASSERT_EQ(status, 504);
+    std::this_thread::sleep_for(seconds(1)); // in which the other misses it
+    const auto text = explain(id);
+    EXPECT_NE(text.find("read by front-1: given_up"), std::string::npos) << text;
+    EXPECT_NE(text.find("the way to its dispatcher broke; front-0 was missed by 1 entry"),
+              std::string::npos)
+        << text;
+    EXPECT_NE(text.find("task_started"), std::string::npos) << text;
+}
+
+TEST_F(explained, a_job_that_fails_wherever_it_runs) {
+    const auto id = platform_fleet::new_id();
+    EXPECT_EQ(m_fleet.submit(1, "27000 50 fail", 1, 50, id), 200);
+    const auto text = explain(id);
+    EXPECT_NE(text.find(": failed after"), std::string::npos) << text;
+    EXPECT_NE(text.find("tasks failed on i-"), std::string::npos) << text;
+}
+
+} // namespace
+} // namespace savorytrail
--- a/source/programs/savoryctl/main.cpp
+++ b/source/programs/savoryctl/main.cpp
@@ -6,6 +6,7 @@
 
 #include "core/control/apply.h"
 #include "core/control/explain.h"
+#include "core/control/explain_log.h"
 #include "core/control/status.h"
 #include "core/control/validate.h"
 
@@ -18,6 +19,7 @@
   savoryctl validate samples/brana.toml
   savoryctl apply samples/brana.toml --platform http://10.0.0.1:7000
   savoryctl status --entries http://10.1.0.1:8080,http://10.2.0.1:8080
+  savoryctl explain 83f4317b8b9f3551 --log entry-1.log --log entry-2.log
 
 Exit codes:
   0  done
@@ -36,6 +38,7 @@
     std::vector<std::string> entries;
     std::string entry;
     std::string job;
+    std::vector<std::string> logs;
     std::int64_t wait_ms = 6000;
     control::apply_options apply;
     control::print_settings_options print;
@@ -186,11 +189,17 @@
     CLI::App* const command = add_command(line, "explain", "Tell the story of one job",
                                           "explain JOB --entry http://10.1.0.1:8080");
     add_json(command, line);
-    command->add_option("JOB", line.job, "Submission id")->required();
-    command->add_option("--entry", line.entry, "Any entry")->required()->check(url_check);
+    command->add_option("JOB", line.job, "Submission id, or a job's id in the logs")->required();
+    auto* const source = command->add_option_group("source", "Where the story comes from");
+    source->add_option("--entry", line.entry, "Any entry")->check(url_check);
+    source->add_option("--log", line.logs, "Logs of entries of the users' platform; - is the input")
+        ->allow_extra_args(false);
+    source->require_option(1);
     command->callback([&line] {
         line.run = [&line](control::environment& outside, control::console& io) {
-            return control::explain(line.job, endpoint_of(line.entry), outside, io);
+            return line.logs.empty()
+                       ? control::explain(line.job, endpoint_of(line.entry), outside, io)
+                       : control::explain_log(line.job, line.logs, io);
         };
     });
 }
--- a/source/stand_ins/users_platform/emulator.cpp
+++ b/source/stand_ins/users_platform/emulator.cpp
@@ -18,12 +18,13 @@
     return std::chrono::steady_clock::now();
 }
 
-// The payload of the emulator's jobs tells what their tasks take: "CPU_MILLIS MILLISECONDS".
+// The payload of the emulator's jobs tells what their tasks take and whether they end in failure:
+// "CPU_MILLIS MILLISECONDS [fail]".
 cell::simulated_executor::started work_of(const std::string& payload) {
     const auto space = payload.find(' ');
     return {{std::stoll(payload.substr(0, space)), 64, 0},
             milliseconds(std::stoll(payload.substr(space + 1))),
-            false};
+            payload.ends_with(" fail")};
 }
 
 } // namespace
