After an outage, jobs that can be on time stand before those sent long ago

A cell counted every job's objective from its arrival, so old jobs, late already, took the room of new ones: 60 of 302 asked in the window of the return were on time. A job that had waited at its entry for a dispatcher counted as new too.

Ruled out: the return itself (all executors held 0.3 s after the entries' start); admission (455 refusals for overload, which there was).

Change: the patience that a resend tells is short of what its queue's callers usually tell by the time passed; usual_patience learns that floor by queue, and keeps it in the entry's own row for those that start after a loss of all. A job carries how long it has waited; objectives count from there.

Logs of a failed run are kept.

--- a/source/core/gateway/gateway.cpp
+++ b/source/core/gateway/gateway.cpp
@@ -35,6 +35,7 @@
     const auto ticket = m_next_ticket++;
     open_job open;
     open.arrived = m_clock.now();
+    open.first_sent = open.arrived - job.waited;
     open.give_up_at = open.arrived + job.patience;
     open.job = std::move(job);
     open.done = std::move(done);
@@ -74,7 +75,9 @@
     }
     open.target = list[*best].name;
     open.tried.insert(open.target);
-    const auto left = std::chrono::duration_cast<milliseconds>(open.give_up_at - m_clock.now());
+    const auto now = m_clock.now();
+    const auto left = std::chrono::duration_cast<milliseconds>(open.give_up_at - now);
+    open.job.waited = std::chrono::duration_cast<milliseconds>(now - open.first_sent);
     if (left <= way_back) {
         refuse(ticket, "its caller's patience ends");
         return;
@@ -102,7 +105,7 @@
     const auto& open = m_open.at(ticket);
     const auto end = m_clock.now() + open.job.longest_chain();
     const bool is_worth_waiting = end < open.give_up_at &&
-                                  end < open.arrived + late_factor * open.job.objective() &&
+                                  end < open.first_sent + late_factor * open.job.objective() &&
                                   m_clock.now() - open.arrived < longest_wait;
     if (!open.tried.empty() || !is_worth_waiting) {
         refuse(ticket, "no dispatcher can be reached");
--- a/source/core/gateway/gateway.h
+++ b/source/core/gateway/gateway.h
@@ -54,6 +54,7 @@
     struct open_job {
         work::job job;
         common::time_point arrived;
+        common::time_point first_sent; // by the caller, as far as known
         common::time_point give_up_at;
         cell::done_callback done;
         std::string target; // an entry's name; this entry's own for its own dispatcher
--- a/source/core/gateway/pass_codec.cpp
+++ b/source/core/gateway/pass_codec.cpp
@@ -50,6 +50,7 @@
     message.set_stretch(terms.stretch);
     message.set_target_ms(terms.target.count());
     message.set_patience_ms(it.job.patience.count());
+    message.set_waited_ms(it.job.waited.count());
     message.set_from(it.from);
     return message.SerializeAsString();
 }
@@ -68,6 +69,7 @@
     it.job.under = {message.queue(),        message.upstream(), message.priority(),
                     message.max_attempts(), message.stretch(),  milliseconds(message.target_ms())};
     it.job.patience = milliseconds(message.patience_ms());
+    it.job.waited = milliseconds(message.waited_ms());
     it.from = message.from();
     return it;
 }
--- /dev/null
+++ b/source/core/gateway/usual_patience.cpp
@@ -0,0 +1,69 @@
+#include "core/gateway/usual_patience.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace savorytrail::gateway {
+
+using common::milliseconds;
+
+milliseconds usual_patience::waited(const std::string& queue, milliseconds patience) const {
+    const auto it = m_queues.find(queue);
+    if (it == m_queues.end() || !it->second.is_known()) {
+        return milliseconds(0);
+    }
+    const double floor = it->second.floor_ms;
+    const auto ms = static_cast<double>(patience.count());
+    return ms < usual_part * floor ? milliseconds(std::llround(floor - ms)) : milliseconds(0);
+}
+
+void usual_patience::note(const std::string& queue, milliseconds patience) {
+    auto& it = m_queues[queue];
+    const auto ms = static_cast<double>(patience.count());
+    // Until enough is known the middle is looked for, where a few repeated sendings weigh little.
+    if (!it.is_known()) {
+        it.samples++;
+        it.floor_ms = it.samples == 1 ? ms : it.floor_ms * (ms < it.floor_ms ? 0.95 : 1.05);
+        return;
+    }
+    const bool is_usual = ms >= usual_part * it.floor_ms;
+    it.unusual += ((is_usual ? 0 : 1) - it.unusual) / memory;
+    if (ms >= it.floor_ms) {
+        it.floor_ms *= 1 + step * low_part;
+        return;
+    }
+    const double weight = is_usual && it.unusual < many_unusual ? 1 : unusual_weight;
+    it.floor_ms *= 1 - step * (1 - low_part) * weight;
+}
+
+void usual_patience::restore(const patience_floors& floors) {
+    for (const auto& [queue, floor] : floors) {
+        auto& it = m_queues[queue];
+        if (!it.is_known() && floor.count() > 0) {
+            it = {static_cast<double>(floor.count()), least_samples};
+        }
+    }
+}
+
+patience_floors usual_patience::floors() const {
+    patience_floors known;
+    for (const auto& [queue, it] : m_queues) {
+        if (it.is_known()) {
+            known[queue] = milliseconds(std::llround(it.floor_ms));
+        }
+    }
+    return known;
+}
+
+bool usual_patience::differs_from(const patience_floors& told) const {
+    const auto known = floors();
+    return std::any_of(known.begin(), known.end(), [&](const auto& it) {
+        const auto before = told.find(it.first);
+        const auto difference =
+            before == told.end() ? it.second : std::chrono::abs(it.second - before->second);
+        return static_cast<double>(difference.count()) >
+               told_difference * static_cast<double>(it.second.count());
+    });
+}
+
+} // namespace savorytrail::gateway
--- a/source/core/work/job.h
+++ b/source/core/work/job.h
@@ -44,6 +44,7 @@
     std::vector<step> steps;
     terms under;
     common::milliseconds patience{0}; // from now on, how long the caller waits
+    common::milliseconds waited{0};   // at least so long ago the caller sent it first
 
     bool operator==(const job&) const = default;
 
--- a/source/integration_tests/platform_fleet.cpp
+++ b/source/integration_tests/platform_fleet.cpp
@@ -10,14 +10,39 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-platform_fleet::platform_fleet(int entries, int executors, std::vector<std::string> domains)
+namespace {
+
+constexpr int first_peer_port = 7720;
+constexpr int ports_of_an_entry = 16;
+
+} // namespace
+
+platform_fleet::platform_fleet(int entries, int executors, std::vector<std::string> domains,
+                               bool with_links)
     : m_network("127." + std::to_string(m_lock.octet())), m_domains(std::move(domains)),
-      m_platform({m_network, m_domains, executors, {64000, 131072, 0}}),
+      m_platform({m_network,
+                  with_links ? platform_links::executors_third : 1,
+                  m_domains,
+                  executors,
+                  {64000, 131072, 0}}),
       m_folder(std::filesystem::temp_directory_path() / ("savory-" + m_network)),
       m_entries(entries) {
     std::filesystem::create_directories(m_folder);
     m_platform.start();
     m_platform.configure(2);
+    if (with_links) {
+        platform_links::plan plan;
+        plan.network = m_network;
+        plan.store = m_platform.store();
+        for (int i = 0; i < entries; i++) {
+            plan.entries.push_back(
+                {host(i), static_cast<std::uint16_t>(first_peer_port + i * ports_of_an_entry)});
+        }
+        for (int i = 0; i < executors; i++) {
+            plan.executors.push_back({m_platform.listed_executor(i), m_platform.executor(i)});
+        }
+        m_links = std::make_unique<platform_links>(plan);
+    }
     for (int i = 0; i < entries; i++) {
         start(i);
     }
@@ -34,17 +59,30 @@
     return m_network + ".2." + std::to_string(entry + 1);
 }
 
+std::filesystem::path platform_fleet::log_file(int entry) const {
+    return m_folder / (std::to_string(entry) + ".log");
+}
+
+int platform_fleet::peer_port(int entry) const {
+    return first_peer_port + (m_links ? entry * ports_of_an_entry : 0);
+}
+
 void platform_fleet::start(int entry) {
+    const auto store = m_links ? m_links->store_of(entry) : m_platform.store();
+    const int port = peer_port(entry);
     const auto path = m_folder / (std::to_string(entry) + ".toml");
     std::ofstream(path) << "node = \"front-" << entry << "\"\nip = \"" << host(entry)
-                        << "\"\nzone = \"" << m_domains[entry % m_domains.size()]
-                        << "\"\nportRange = [7720, 7735]\nseeds = [\"" << host(0)
+                        << "\"\nzone = \"" << domain(entry) << "\"\nportRange = [" << port << ", "
+                        << port + ports_of_an_entry - 1 << "]\nseeds = [\"" << host(0)
                         << ":8166\"]\n[listen]\nfront = \"" << host(entry) << ":" << caller_port
                         << "\"\nready = \"" << host(entry) << ":" << ready_port
                         << "\"\n[limits]\ncpuShare = 0.25\n[bounds]\ngraceS = 6\n"
-                        << "[platform]\naddress = \"" << m_platform.store().to_string() << "\"\n";
-    m_entries[entry] = std::make_unique<stand_ins::process>(stand_ins::process_options{
-        "savory-platform-entry", {"--settings", path.string()}, m_folder / "errors"});
+                        << "[platform]\naddress = \"" << store.to_string() << "\"\n";
+    m_entries[entry] = std::make_unique<stand_ins::process>(
+        stand_ins::process_options{"savory-platform-entry",
+                                   {"--settings", path.string()},
+                                   m_folder / "errors",
+                                   log_file(entry)});
     if (const auto ec = m_entries[entry]->spawn()) {
         throw std::system_error(ec);
     }
--- a/source/integration_tests/platform_fleet.h
+++ b/source/integration_tests/platform_fleet.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "integration_tests/platform_links.h"
 #include "stand_ins/cluster/addresses.h"
 #include "stand_ins/cluster/process.h"
 #include "stand_ins/users_platform/emulator.h"
@@ -18,8 +19,10 @@
     static constexpr int caller_port = 8161;
     static constexpr int ready_port = 8167;
 
-    // Entries and executors are in the failure domains in turn.
-    platform_fleet(int entries, int executors, std::vector<std::string> domains = {"a"});
+    // Entries and executors are in the failure domains in turn. With links, all that entries send
+    // to each other, to executors and to the store goes through proxies.
+    platform_fleet(int entries, int executors, std::vector<std::string> domains = {"a"},
+                   bool with_links = false);
     ~platform_fleet();
     platform_fleet(const platform_fleet&) = delete;
     platform_fleet& operator=(const platform_fleet&) = delete;
@@ -27,6 +30,11 @@
     int size() const { return static_cast<int>(m_entries.size()); }
     std::string host(int entry) const;
     stand_ins::emulator& platform() { return m_platform; }
+    // Only of a fleet with links.
+    platform_links& links() { return *m_links; }
+    // What the entry has written, over all its lives; kept until the object goes.
+    std::filesystem::path log_file(int entry) const;
+    const std::string& domain(int entry) const { return m_domains[entry % m_domains.size()]; }
     stand_ins::process& entry(int i) { return *m_entries.at(i); }
 
     // Starts the entry's process, anew if it ran before.
@@ -41,10 +49,13 @@
                const std::string& id = new_id()) const;
 
 private:
+    int peer_port(int entry) const;
+
     const stand_ins::octet_lock m_lock;
     const std::string m_network;
     const std::vector<std::string> m_domains;
     stand_ins::emulator m_platform;
+    std::unique_ptr<platform_links> m_links; // empty without
     const std::filesystem::path m_folder;
     std::vector<std::unique_ptr<stand_ins::process>> m_entries;
 };
--- a/source/stand_ins/cluster/process.cpp
+++ b/source/stand_ins/cluster/process.cpp
@@ -41,12 +41,14 @@
 // Attributes and file actions of posix_spawn, released with the object.
 class spawn_plan {
 public:
-    spawn_plan(int output, const std::string& error_file) {
+    spawn_plan(int output, const std::string& output_file, const std::string& error_file) {
         posix_spawn_file_actions_init(&m_actions);
         posix_spawn_file_actions_addopen(&m_actions, STDIN_FILENO, "/dev/null", O_RDONLY, 0);
-        posix_spawn_file_actions_adddup2(&m_actions, output, STDOUT_FILENO);
-        posix_spawn_file_actions_addopen(&m_actions, STDERR_FILENO, error_file.c_str(),
-                                         O_WRONLY | O_CREAT | O_APPEND, 0644);
+        if (output_file.empty())
+            posix_spawn_file_actions_adddup2(&m_actions, output, STDOUT_FILENO);
+        else
+            add_appended(STDOUT_FILENO, output_file);
+        add_appended(STDERR_FILENO, error_file);
         sigset_t none;
         sigemptyset(&none);
         posix_spawnattr_init(&m_attributes);
@@ -70,6 +72,11 @@
     }
 
 private:
+    void add_appended(int fd, const std::string& file) {
+        posix_spawn_file_actions_addopen(&m_actions, fd, file.c_str(),
+                                         O_WRONLY | O_CREAT | O_APPEND, 0644);
+    }
+
     posix_spawn_file_actions_t m_actions{};
     posix_spawnattr_t m_attributes{};
 };
@@ -93,7 +100,8 @@
     command.push_back(program_path(m_options.program));
     command.insert(command.end(), m_options.arguments.begin(), m_options.arguments.end());
     const int problem =
-        spawn_plan(output[1], m_options.error_file.string()).run(std::move(command), m_id);
+        spawn_plan(output[1], m_options.output_file.string(), m_options.error_file.string())
+            .run(std::move(command), m_id);
     close(output[1]);
     return {problem, std::generic_category()};
 }
--- a/source/stand_ins/cluster/process.h
+++ b/source/stand_ins/cluster/process.h
@@ -16,7 +16,8 @@
 struct process_options {
     std::string program; // file name within SAVORY_BIN
     std::vector<std::string> arguments;
-    std::filesystem::path error_file; // receives its standard error, appended
+    std::filesystem::path error_file;       // receives its standard error, appended
+    std::filesystem::path output_file = {}; // the same of its standard output; empty: read_output()
 
     bool operator==(const process_options&) const = default;
 };
--- a/source/stand_ins/proxy/udp_route.cpp
+++ b/source/stand_ins/proxy/udp_route.cpp
@@ -19,6 +19,8 @@
 
 udp_route::~udp_route() {
     stop();
+    if (m_sender >= 0 && m_sender != m_socket)
+        close(m_sender);
     if (m_socket >= 0)
         close(m_socket);
 }
@@ -28,6 +30,13 @@
     if (!it)
         return it.error();
     m_socket = it.value();
+    m_sender = m_socket;
+    if (m_source_host.empty())
+        return {};
+    const auto sender = open_datagram_socket({m_source_host, 0});
+    if (!sender)
+        return sender.error();
+    m_sender = sender.value();
     return {};
 }
 
@@ -63,7 +72,7 @@
     const auto target = to_socket_address(addresses().target);
     while (m_queue.has_due(now)) {
         const auto& data = m_queue.front();
-        const auto n = sendto(m_socket, data.data(), data.size(), MSG_NOSIGNAL,
+        const auto n = sendto(m_sender, data.data(), data.size(), MSG_NOSIGNAL,
                               reinterpret_cast<const sockaddr*>(&target), sizeof(target));
         if (n > 0)
             count({.bytes_to_target = static_cast<std::uint64_t>(n), .datagrams = 1});
--- a/source/stand_ins/proxy/udp_route.h
+++ b/source/stand_ins/proxy/udp_route.h
@@ -10,6 +10,9 @@
 class udp_route final : public route {
 public:
     explicit udp_route(route_addresses addresses) : route(std::move(addresses)) {}
+    // Datagrams leave from an address of that host, as if its owner had sent them.
+    udp_route(route_addresses addresses, std::string source_host)
+        : route(std::move(addresses)), m_source_host(std::move(source_host)) {}
     ~udp_route() override;
 
 private:
@@ -21,7 +24,9 @@
     void receive_waiting(common::time_point now);
     void send_due(common::time_point now);
 
+    const std::string m_source_host; // empty: that of the route
     int m_socket = -1;
+    int m_sender = -1; // the same, or of the source host
     proxy_fault m_fault;
     delay_queue m_queue; // a piece is one datagram
 };
--- a/source/stand_ins/users_platform/emulator.cpp
+++ b/source/stand_ins/users_platform/emulator.cpp
@@ -51,7 +51,7 @@
     for (int i = 0; i < m_plan.executors; i++) {
         work::executor_info info;
         info.id = "i-" + std::to_string(i);
-        info.address = {m_plan.network + ".1." + std::to_string(i + 1), executor_port};
+        info.address = listed_executor(i);
         info.failure_domain = m_plan.failure_domains[i % m_plan.failure_domains.size()];
         info.upstream = "upstream";
         info.capacity = m_plan.capacity;
@@ -63,7 +63,7 @@
             [this, at = host.get()](const auto& request, const auto& to) {
                 serve_executor(*at, request, to);
             });
-        host->server->listen(info.address).value();
+        host->server->listen(executor(i)).value();
         register_executor(*host);
         m_executors.push_back(std::move(host));
     }
--- a/source/stand_ins/users_platform/emulator.h
+++ b/source/stand_ins/users_platform/emulator.h
@@ -20,6 +20,8 @@
 public:
     struct plan {
         std::string network; // "127.N": store at .0.1, executors at .1.x
+        // The third part of the addresses under which executors are listed: 1, or that of proxies.
+        int listed_at = 1;
         std::vector<std::string> failure_domains; // of the executors, in turn
         int executors = 4;
         work::room capacity{64000, 131072, 0};
@@ -34,6 +36,8 @@
     void start();
 
     common::endpoint store() const { return {m_plan.network + ".0.1", store_port}; }
+    common::endpoint executor(int i) const { return executor_at(1, i); }
+    common::endpoint listed_executor(int i) const { return executor_at(m_plan.listed_at, i); }
     // Writes a configuration with one queue, at host "h.example", prefix "/q/".
     void configure(std::uint64_t version);
 
@@ -58,6 +62,10 @@
 
     using answer = std::shared_ptr<reactor::responder>;
 
+    common::endpoint executor_at(int third, int i) const {
+        return {m_plan.network + "." + std::to_string(third) + "." + std::to_string(i + 1),
+                executor_port};
+    }
     void serve_store(const reactor::http_request& request, const answer& to);
     void get_rows(const std::string& table, const answer& to);
     void wait_for_rows(const std::string& table, std::uint64_t after, common::time_point until,
--- a/source/unit_tests/cell/policy_test.cpp
+++ b/source/unit_tests/cell/policy_test.cpp
@@ -98,6 +98,18 @@
     EXPECT_LT(rank(patient), rank(late));
 }
 
+// After an outage half of what comes was sent before, and its time is nearly up.
+TEST(ranking, puts_what_can_be_on_time_before_what_was_sent_long_ago) {
+    const common::time_point now{std::chrono::hours(1)};
+    auto again = make_job("again", 1, milliseconds(200));
+    again.waited = milliseconds(500);
+    const job_record old(again, {}, now);
+    const job_record fresh(make_job("fresh", 1, milliseconds(200)), {}, now);
+    EXPECT_LT(rank_of(fresh, {}, now), rank_of(old, {}, now));
+    EXPECT_EQ(rank_of(old, {}, now).group, urgency::late);
+    EXPECT_EQ(old.late_until(), fresh.late_until() - milliseconds(500));
+}
+
 // Load patterns on a cell of 12 executors; estimates are off by up to 40% either way.
 struct load_case {
     const char* name;
--- a/source/unit_tests/platform_adapter/codec_test.cpp
+++ b/source/unit_tests/platform_adapter/codec_test.cpp
@@ -245,5 +245,17 @@
     EXPECT_FALSE(parse_settings("node = \"a\""));
 }
 
+TEST(entry_rows, keep_all_they_say) {
+    const entry_row it{{"front-1", "a", "10.0.0.1"}, {{"q", std::chrono::milliseconds(1800)}}};
+    EXPECT_EQ(decode_entry(encode_entry(it)), it);
+    // As written before there was anything to learn.
+    EXPECT_EQ(decode_entry(R"({"name":"front-1","domain":"a","host":"10.0.0.1"})"),
+              (entry_row{{"front-1", "a", "10.0.0.1"}, {}}));
+    EXPECT_FALSE(decode_entry(R"({"name":"front-1"})"));
+    EXPECT_FALSE(
+        decode_entry(R"({"name":"n","domain":"a","host":"h","patience_ms":{"q":"soon"}})"));
+    EXPECT_FALSE(decode_entry(R"({"name":"n","domain":"a","host":"h","patience_ms":7})"));
+}
+
 } // namespace
 } // namespace savorytrail::platform_adapter
