A queue's first floor of patience lies low

Cause: after 30 samples the floor was their middle, sinking slowly; meanwhile first sendings of queues with a wide spread counted as old. Change: the floor starts at 75% of the middle.

--- a/source/core/cell/job_record.cpp
+++ b/source/core/cell/job_record.cpp
@@ -14,7 +14,8 @@
 
 job_record::job_record(work::job job, const work::job& told, const limits& by,
                        common::time_point now)
-    : m_job(std::move(job)), m_arrived(now), m_on_time_until(now - m_job.waited + m_job.objective()),
+    : m_job(std::move(job)), m_arrived(now),
+      m_on_time_until(now - m_job.waited + m_job.objective()),
       m_late_until(now - m_job.waited + scaled(m_job.objective(), by.late_factor)),
       m_give_up_at(now + m_job.patience) {
     for (const auto& it : told.steps) {
--- a/source/core/gateway/usual_patience.cpp
+++ b/source/core/gateway/usual_patience.cpp
@@ -24,6 +24,7 @@
     if (!it.is_known()) {
         it.samples++;
         it.floor_ms = it.samples == 1 ? ms : it.floor_ms * (ms < it.floor_ms ? 0.95 : 1.05);
+        it.floor_ms *= it.is_known() ? first_floor : 1;
         return;
     }
     const bool is_usual = ms >= usual_part * it.floor_ms;
--- a/source/core/gateway/usual_patience.h
+++ b/source/core/gateway/usual_patience.h
@@ -36,6 +36,9 @@
     };
 
     static constexpr int least_samples = 30;
+    // Of the middle of the first samples: where the floor is looked for from then on. Rather too
+    // low, so that no first sending is taken for an old one.
+    static constexpr double first_floor = 0.75;
     // The floor is the patience below which this part of first sendings lies.
     static constexpr double low_part = 0.05;
     // Part of the floor that a sample moves it by, over `low_part`.
--- a/source/unit_tests/gateway/usual_patience_test.cpp
+++ b/source/unit_tests/gateway/usual_patience_test.cpp
@@ -36,6 +36,13 @@
     EXPECT_TRUE(m_model.floors().empty());
 }
 
+TEST_F(a_queue, of_which_little_is_known_takes_no_first_sending_for_old) {
+    for (int i = 0; i < 200; i++) {
+        note(1, 0);
+        EXPECT_EQ(m_model.waited("q", milliseconds(2000)), milliseconds(0)) << i;
+    }
+}
+
 TEST_F(a_queue, tells_the_age_of_what_was_sent_again) {
     note(1000);
     EXPECT_EQ(m_model.waited("q", milliseconds(2000)), milliseconds(0));
