The lease follows the deployment's bounds, in the entry too

On executors that grant 300 ms, tasks of 900 ms lapsed again and again: 28 starts for 4 tasks, 504.

Change: the entry makes its limits from its settings; the longest lease, which a reborn executor's orders under way may have, comes from there too. The emulator grants what its plan says; platform_fleet takes a plan. Test: platform_leases in platform_entries_test, failing before (28 starts, 504), passing after (4 starts, 200).

--- a/source/core/cell/executor_desk.cpp
+++ b/source/core/cell/executor_desk.cpp
@@ -8,8 +8,6 @@
 using common::milliseconds;
 using work::verdict;
 
-// No executor grants a longer lease, whatever an order asks for.
-constexpr std::int64_t longest_lease_ms = 1000;
 // After a lease's end by the lower bound of the executor's clock.
 constexpr std::int64_t lapse_margin_ms = 30;
 // Between two stop orders for the same run.
@@ -376,7 +374,7 @@
         it.clock.forget();
         it.acknowledged = 0;
         // Orders that were under way may have reached the new life, with leases by the old clock.
-        it.lease_until = report.clock_ms + longest_lease_ms;
+        it.lease_until = report.clock_ms + m_limits.longest_lease.count();
     }
     if (report.born != 0) {
         it.born = report.born;
--- a/source/core/cell/limits.h
+++ b/source/core/cell/limits.h
@@ -11,6 +11,7 @@
     // What a start or a renewal asks for. Below the longest lease that executors grant, and below
     // the time after which callers send a job again.
     common::milliseconds lease{800};
+    common::milliseconds longest_lease{1000}; // that executors grant, whatever is asked for
     // A renewal is sent when less than this is left of the lease.
     common::milliseconds renew_below{450};
     // How long an executor may hold back its report, waiting for an end, while it runs something...
@@ -51,6 +52,7 @@
 // again after `resend`: what an entry leaves behind must have ended by then.
 inline limits limits_for(common::milliseconds longest_lease, common::milliseconds resend) {
     limits it;
+    it.longest_lease = longest_lease;
     const auto lease = std::min(longest_lease * 4 / 5, resend * 5 / 8);
     if (lease < it.lease) {
         it.renew_below = it.renew_below * lease.count() / it.lease.count();
--- a/source/core/gateway/pass_http.cpp
+++ b/source/core/gateway/pass_http.cpp
@@ -83,11 +83,10 @@
     }
     const auto number = m_next++;
     m_open[number] = {passed->from, passed->job.id, 0};
-    const auto ticket =
-        m_own.submit(std::move(passed->job), [this, number, answer](const work::outcome& it) {
-            m_open.erase(number);
-            answer->send({200, {}, encode(it), protobuf_type});
-        });
+    const auto ticket = m_own.submit(passed->job, [this, number, answer](const work::outcome& it) {
+        m_open.erase(number);
+        answer->send({200, {}, encode(it), protobuf_type});
+    });
     if (const auto it = m_open.find(number); it != m_open.end()) {
         it->second.ticket = ticket;
         answer->on_abandoned([this, number] { drop(number); });
--- a/source/core/log_story/log_event.cpp
+++ b/source/core/log_story/log_event.cpp
@@ -33,10 +33,11 @@
     if (!date.ok()) {
         return std::nullopt;
     }
-    const std::chrono::sys_days days(date);
-    const std::int64_t seconds =
-        days.time_since_epoch().count() * 86400LL + hour * 3600 + minute * 60 + second;
-    return seconds * 1'000'000 + micros;
+    using std::chrono::microseconds;
+    const microseconds at = std::chrono::sys_days(date).time_since_epoch() +
+                            std::chrono::hours(hour) + std::chrono::minutes(minute) +
+                            std::chrono::seconds(second) + microseconds(micros);
+    return at.count();
 }
 
 // The last stamp that begins before the event's text.
--- a/source/integration_tests/platform_entries_test.cpp
+++ b/source/integration_tests/platform_entries_test.cpp
@@ -17,7 +17,7 @@
     ~platform_entries() override = default;
 
 protected:
-    platform_fleet m_fleet{2, 4};
+    platform_fleet m_fleet{{}};
 };
 
 TEST_F(platform_entries, serve_a_job_at_every_entry) {
@@ -94,13 +94,22 @@
     EXPECT_EQ(m_fleet.platform().running(), 0U);
 }
 
+// Executors that grant less than the usual lease end what is not renewed in time.
+TEST(platform_leases, are_renewed_as_often_as_executors_want) {
+    platform_fleet fleet{{.longest_lease = milliseconds(300)}};
+    ASSERT_TRUE(fleet.wait_until_serving(0));
+    const auto before = fleet.platform().starts();
+    EXPECT_EQ(fleet.submit(0, "27000 900", 4, 900), 200);
+    EXPECT_EQ(fleet.platform().starts() - before, 4U);
+}
+
 class platform_domains : public testing::Test {
 public:
     ~platform_domains() override = default;
 
 protected:
     // Entry 0 and two executors in one failure domain, entry 1 and two executors in the other.
-    platform_fleet m_fleet{2, 4, {"a", "b"}};
+    platform_fleet m_fleet{{.domains = {"a", "b"}}};
 };
 
 TEST_F(platform_domains, executors_of_one_without_entries_serve_the_others_until_an_entry_is_back) {
--- a/source/integration_tests/platform_explain_test.cpp
+++ b/source/integration_tests/platform_explain_test.cpp
@@ -45,7 +45,7 @@
         return text;
     }
 
-    platform_fleet m_fleet{2, 4};
+    platform_fleet m_fleet{{}};
 };
 
 TEST_F(explained, a_refusal_under_overload) {
--- a/source/integration_tests/platform_fleet.cpp
+++ b/source/integration_tests/platform_fleet.cpp
@@ -17,37 +17,41 @@
 
 } // namespace
 
-platform_fleet::platform_fleet(int entries, int executors, std::vector<std::string> domains,
-                               bool with_links)
-    : m_network("127." + std::to_string(m_lock.octet())), m_domains(std::move(domains)),
+platform_fleet::platform_fleet(plan its_plan)
+    : m_network("127." + std::to_string(m_lock.octet())), m_plan(std::move(its_plan)),
       m_platform({m_network,
-                  with_links ? platform_links::executors_third : 1,
-                  m_domains,
-                  executors,
-                  {64000, 131072, 0}}),
+                  m_plan.with_links ? platform_links::executors_third : 1,
+                  m_plan.domains,
+                  m_plan.executors,
+                  {64000, 131072, 0},
+                  m_plan.longest_lease}),
       m_folder(std::filesystem::temp_directory_path() / ("savory-" + m_network)),
-      m_entries(entries) {
+      m_entries(m_plan.entries) {
     std::filesystem::create_directories(m_folder);
     m_platform.start();
     m_platform.configure(2);
-    if (with_links) {
-        platform_links::plan plan;
-        plan.network = m_network;
-        plan.store = m_platform.store();
-        for (int i = 0; i < entries; i++) {
-            plan.entries.push_back(
-                {host(i), static_cast<std::uint16_t>(first_peer_port + i * ports_of_an_entry)});
-        }
-        for (int i = 0; i < executors; i++) {
-            plan.executors.push_back({m_platform.listed_executor(i), m_platform.executor(i)});
-        }
-        m_links = std::make_unique<platform_links>(plan);
+    if (m_plan.with_links) {
+        make_links();
     }
-    for (int i = 0; i < entries; i++) {
+    for (int i = 0; i < size(); i++) {
         start(i);
     }
 }
 
+void platform_fleet::make_links() {
+    platform_links::plan links;
+    links.network = m_network;
+    links.store = m_platform.store();
+    for (int i = 0; i < size(); i++) {
+        links.entries.push_back(
+            {host(i), static_cast<std::uint16_t>(first_peer_port + i * ports_of_an_entry)});
+    }
+    for (int i = 0; i < m_plan.executors; i++) {
+        links.executors.push_back({m_platform.listed_executor(i), m_platform.executor(i)});
+    }
+    m_links = std::make_unique<platform_links>(links);
+}
+
 platform_fleet::~platform_fleet() {
     for (const auto& it : m_entries) {
         it->kill();
@@ -76,7 +80,8 @@
                         << port + ports_of_an_entry - 1 << "]\nseeds = [\"" << host(0)
                         << ":8166\"]\n[listen]\nfront = \"" << host(entry) << ":" << caller_port
                         << "\"\nready = \"" << host(entry) << ":" << ready_port
-                        << "\"\n[limits]\ncpuShare = 0.25\n[bounds]\ngraceS = 6\n"
+                        << "\"\n[limits]\ncpuShare = 0.25\n[bounds]\ngraceS = 6\nholdMaxMs = "
+                        << m_plan.longest_lease.count() << "\n"
                         << "[platform]\naddress = \"" << store.to_string() << "\"\n";
     m_entries[entry] = std::make_unique<stand_ins::process>(
         stand_ins::process_options{"savory-platform-entry",
--- a/source/integration_tests/platform_fleet.h
+++ b/source/integration_tests/platform_fleet.h
@@ -19,10 +19,17 @@
     static constexpr int caller_port = 8161;
     static constexpr int ready_port = 8167;
 
-    // Entries and executors are in the failure domains in turn. With links, all that entries send
-    // to each other, to executors and to the store goes through proxies.
-    platform_fleet(int entries, int executors, std::vector<std::string> domains = {"a"},
-                   bool with_links = false);
+    struct plan {
+        int entries = 2;
+        int executors = 4;
+        // Of entries and executors, in turn.
+        std::vector<std::string> domains = {"a"};
+        // All that entries send to each other, to executors and to the store goes through proxies.
+        bool with_links = false;
+        common::milliseconds longest_lease{1000}; // that executors grant
+    };
+
+    explicit platform_fleet(plan its_plan);
     ~platform_fleet();
     platform_fleet(const platform_fleet&) = delete;
     platform_fleet& operator=(const platform_fleet&) = delete;
@@ -34,7 +41,9 @@
     platform_links& links() { return *m_links; }
     // What the entry has written, over all its lives; kept until the object goes.
     std::filesystem::path log_file(int entry) const;
-    const std::string& domain(int entry) const { return m_domains[entry % m_domains.size()]; }
+    const std::string& domain(int entry) const {
+        return m_plan.domains[entry % m_plan.domains.size()];
+    }
     stand_ins::process& entry(int i) { return *m_entries.at(i); }
 
     // Starts the entry's process, anew if it ran before.
@@ -49,11 +58,12 @@
                const std::string& id = new_id()) const;
 
 private:
+    void make_links();
     int peer_port(int entry) const;
 
     const stand_ins::octet_lock m_lock;
     const std::string m_network;
-    const std::vector<std::string> m_domains;
+    const plan m_plan;
     stand_ins::emulator m_platform;
     std::unique_ptr<platform_links> m_links; // empty without
     const std::filesystem::path m_folder;
--- a/source/integration_tests/platform_soak_test.cpp
+++ b/source/integration_tests/platform_soak_test.cpp
@@ -183,7 +183,8 @@
 
     const std::uint64_t m_seed;
     std::mt19937_64 m_random;
-    platform_fleet m_fleet{entries, executors, {"a", "b"}, true};
+    platform_fleet m_fleet{
+        {.entries = entries, .executors = executors, .domains = {"a", "b"}, .with_links = true}};
     std::uint64_t m_version = 2;                                     // of the configuration
     std::array<std::atomic<std::int64_t>, entries> m_paused_ms = {}; // in all, by entry
     std::atomic<bool> m_is_over = false;
--- a/source/stand_ins/users_platform/emulator.cpp
+++ b/source/stand_ins/users_platform/emulator.cpp
@@ -58,6 +58,7 @@
         info.born = 1;
         auto host = std::make_unique<executor_host>(
             executor_host{cell::simulated_executor(info, 0.99), nullptr});
+        host->machine.longest_lease_ms = m_plan.longest_lease.count();
         host->server = std::make_unique<reactor::http_server>(
             m_loop, reactor::server_limits{},
             [this, at = host.get()](const auto& request, const auto& to) {
--- a/source/stand_ins/users_platform/emulator.h
+++ b/source/stand_ins/users_platform/emulator.h
@@ -25,6 +25,7 @@
         std::vector<std::string> failure_domains; // of the executors, in turn
         int executors = 4;
         work::room capacity{64000, 131072, 0};
+        common::milliseconds longest_lease{1000}; // that executors grant
     };
 
     explicit emulator(plan its_plan);
--- a/source/stand_ins/users_platform/simulated_executor.h
+++ b/source/stand_ins/users_platform/simulated_executor.h
@@ -46,14 +46,13 @@
     bool is_reachable = true;
     double slowness = 1; // its runs take so many times as long
     bool stands_still = false;
+    std::int64_t longest_lease_ms = 1000; // whatever is asked for
 
 private:
     std::int64_t clock_ms() const { return m_clock; }
     void end(const work::task_id& task, work::run_end how);
     void renew(std::int64_t until);
 
-    static constexpr std::int64_t longest_lease_ms = 1000;
-
     const work::executor_info m_info;
     const double m_clock_rate;
     common::time_point m_started;
