--- a/source/core/cell/dispatcher.cpp
+++ b/source/core/cell/dispatcher.cpp
@@ -40,14 +40,14 @@
         m_observer.job_event(job.id, "job_joined", "sent again while it is worked on");
         return ticket;
     }
-    auto believed = m_durations.corrected(job);
-    if (const auto refusal = refuse(believed)) {
+    job_record record(m_durations.corrected(job), job, m_limits, m_clock.now());
+    if (const auto refusal = refuse(record)) {
         m_observer.job_event(job.id, "job_refused", refusal->reason);
         done(*refusal);
         return ticket;
     }
-    m_jobs.emplace_back(std::move(believed), job, m_limits, m_clock.now());
-    m_jobs.back().waiters.push_back({ticket, std::move(done)});
+    record.waiters.push_back({ticket, std::move(done)});
+    m_jobs.push_back(std::move(record));
     m_by_id[job.id] = std::prev(m_jobs.end());
     on_room();
     return ticket;
@@ -65,18 +65,18 @@
     return m_meter.effective(static_cast<double>(load().capacity_cpu_millis));
 }
 
-std::optional<work::outcome> dispatcher::refuse(const work::job& job) {
+std::optional<work::outcome> dispatcher::refuse(const job_record& candidate) {
+    const auto& job = candidate.job();
     const auto now = m_clock.now();
     const double capacity = effective_capacity();
     if (capacity <= 0) {
         return work::outcome{work::job_end::not_run, "no executor takes work", shortest_retry,
                              true};
     }
-    const job_record candidate(job, m_limits, now);
-    const auto its_rank = rank_of(candidate, m_limits, now);
+    const auto its_rank = rank_of(candidate, now);
     double ahead = 0;
     for (const auto& it : m_jobs) {
-        if (it.has_waiting() && rank_of(it, m_limits, now) < its_rank) {
+        if (it.has_waiting() && rank_of(it, now) < its_rank) {
             ahead += it.waiting_volume();
         }
     }
@@ -144,7 +144,7 @@
     for (auto it = m_jobs.begin(); it != m_jobs.end();) {
         const auto job = it++;
         any_waits = any_waits || job->has_waiting();
-        const auto group = rank_of(*job, m_limits, now).group;
+        const auto group = rank_of(*job, now).group;
         if (now + answer_margin >= job->give_up_at()) {
             give_up(job, "its caller's patience ends");
         } else if (group == urgency::hopeless) {
@@ -218,7 +218,7 @@
     std::vector<std::pair<rank, job_record*>> order;
     for (auto& it : m_jobs) {
         if (it.has_waiting()) {
-            order.emplace_back(rank_of(it, m_limits, now), &it);
+            order.emplace_back(rank_of(it, now), &it);
         }
     }
     std::stable_sort(order.begin(), order.end(),
--- a/source/core/cell/dispatcher.h
+++ b/source/core/cell/dispatcher.h
@@ -69,7 +69,7 @@
     void stop_runs(const job_record& job);
     void on_failure(job_list::iterator job, task_record& task);
     bool is_busy_elsewhere(const work::task_id& task) const;
-    std::optional<work::outcome> refuse(const work::job& job);
+    std::optional<work::outcome> refuse(const job_record& candidate);
     double waiting_volume() const;
     double effective_capacity() const;
 
--- a/source/core/cell/executor_desk.cpp
+++ b/source/core/cell/executor_desk.cpp
@@ -58,17 +58,9 @@
 }
 
 std::vector<std::string> executor_desk::held() const {
-    return in_state(holding::held);
-}
-
-std::vector<std::string> executor_desk::taken() const {
-    return in_state(holding::taken);
-}
-
-std::vector<std::string> executor_desk::in_state(holding state) const {
     std::vector<std::string> list;
     for (const auto& [id, record] : m_executors) {
-        if (record->state == state) {
+        if (record->state == holding::held) {
             list.push_back(id);
         }
     }
--- a/source/core/cell/executor_desk.h
+++ b/source/core/cell/executor_desk.h
@@ -77,8 +77,6 @@
                 const std::set<std::string>& adopted = {});
     // All executors that another entry must not claim yet.
     std::vector<std::string> held() const;
-    // Those whose latest word was that another holder has taken them.
-    std::vector<std::string> taken() const;
 
     bool start(const std::string& executor, const work::run_key& run, work::room occupied,
                common::milliseconds limit, const std::string& payload);
@@ -103,7 +101,6 @@
     using record_map = std::map<std::string, std::unique_ptr<executor_record>>;
 
     executor_record* find(const std::string& executor);
-    std::vector<std::string> in_state(holding state) const;
     void claim(executor_record& it);
     void lose_hold(executor_record& it, std::string_view reason);
     void reclaim_if_due(executor_record& it);
--- a/source/core/cell/ranking.cpp
+++ b/source/core/cell/ranking.cpp
@@ -13,7 +13,7 @@
 
 } // namespace
 
-rank rank_of(const job_record& it, const limits&, common::time_point now) {
+rank rank_of(const job_record& it, common::time_point now) {
     const auto chain = static_cast<double>(it.job().longest_chain().count());
     const double least = chain * least_share_of_estimate;
     const int priority = it.job().under.priority;
--- a/source/core/cell/ranking.h
+++ b/source/core/cell/ranking.h
@@ -22,6 +22,6 @@
 };
 
 // `hopeless`: it can't end even by the time after which its answer is worth nothing.
-rank rank_of(const job_record& it, const limits& by, common::time_point now);
+rank rank_of(const job_record& it, common::time_point now);
 
 } // namespace savorytrail::cell
--- a/source/core/fleet/adoption.cpp
+++ b/source/core/fleet/adoption.cpp
@@ -141,6 +141,9 @@
 std::vector<work::executor_info> adoption::adopted(const view& fleet,
                                                    const std::set<std::string>& mine,
                                                    common::time_point now) const {
+    if (m_candidates.empty()) {
+        return {};
+    }
     const auto held_by_others = fleet.held_by_others(now);
     const auto tried = tried_domains(now);
     std::map<std::string, std::size_t> on_trial;
--- a/source/core/gateway/pass_http.cpp
+++ b/source/core/gateway/pass_http.cpp
@@ -60,15 +60,7 @@
         return false;
     }
     if (const auto it = decode_abandoned(request.body)) {
-        std::vector<std::uint64_t> passes;
-        for (const auto& [number, open] : m_open) {
-            if (open.job == it->id && open.from == it->from) {
-                passes.push_back(number);
-            }
-        }
-        for (const auto number : passes) {
-            drop(number);
-        }
+        drop_if([&](const open_pass& open) { return open.job == it->id && open.from == it->from; });
     }
     answer->send({200, {}, "", protobuf_type});
     return true;
@@ -104,9 +96,13 @@
 }
 
 void pass_service::on_entry_lost(const std::string& name) {
+    drop_if([&](const open_pass& open) { return open.from == name; });
+}
+
+void pass_service::drop_if(const std::function<bool(const open_pass&)>& is_over) {
     std::vector<std::uint64_t> passes;
     for (const auto& [number, it] : m_open) {
-        if (it.from == name) {
+        if (is_over(it)) {
             passes.push_back(number);
         }
     }
--- a/source/core/gateway/pass_http.h
+++ b/source/core/gateway/pass_http.h
@@ -2,6 +2,7 @@
 // it ends before the outcome, the receiving side stops the job.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <set>
 
@@ -45,6 +46,7 @@
     void take(const reactor::http_request& request,
               const std::shared_ptr<reactor::responder>& answer);
     void drop(std::uint64_t pass);
+    void drop_if(const std::function<bool(const open_pass&)>& is_over);
 
     cell::dispatcher& m_own;
     std::map<std::uint64_t, open_pass> m_open;
--- a/source/unit_tests/cell/policy_test.cpp
+++ b/source/unit_tests/cell/policy_test.cpp
@@ -92,7 +92,7 @@
     const job_record urgent(make_job("urgent", 1, milliseconds(50)), {}, now);
     const job_record patient(make_job("patient", 1, milliseconds(500)), {}, now);
     const job_record late(make_job("late", 1, milliseconds(100)), {}, now - milliseconds(250));
-    const auto rank = [&](const job_record& it) { return rank_of(it, {}, now); };
+    const auto rank = [&](const job_record& it) { return rank_of(it, now); };
     EXPECT_LT(rank(begun), rank(urgent));
     EXPECT_LT(rank(urgent), rank(patient));
     EXPECT_LT(rank(patient), rank(late));
@@ -105,8 +105,8 @@
     again.waited = milliseconds(500);
     const job_record old(again, {}, now);
     const job_record fresh(make_job("fresh", 1, milliseconds(200)), {}, now);
-    EXPECT_LT(rank_of(fresh, {}, now), rank_of(old, {}, now));
-    EXPECT_EQ(rank_of(old, {}, now).group, urgency::late);
+    EXPECT_LT(rank_of(fresh, now), rank_of(old, now));
+    EXPECT_EQ(rank_of(old, now).group, urgency::late);
     EXPECT_EQ(old.late_until(), fresh.late_until() - milliseconds(500));
 }
 
--- a/source/unit_tests/fleet_view/adoption_test.cpp
+++ b/source/unit_tests/fleet_view/adoption_test.cpp
@@ -4,6 +4,8 @@
 
 #include <gtest/gtest.h>
 
+#include "unit_tests/fleet_view/executors.h"
+
 namespace savorytrail::fleet {
 namespace {
 
@@ -19,21 +21,10 @@
     return it;
 }
 
-std::vector<work::executor_info> executors(int n, const std::string& domain) {
-    std::vector<work::executor_info> list;
-    for (int i = 0; i < n; i++) {
-        work::executor_info it;
-        it.id = domain + std::to_string(i);
-        it.failure_domain = domain;
-        list.push_back(it);
-    }
-    return list;
-}
-
 // This entry is the only one of "here"; "there" has four executors.
 class left_domain : public testing::Test {
 protected:
-    left_domain() { m_adoption.set_listed(executors(4, "there")); }
+    left_domain() { m_adoption.set_listed(make_executors(4, "there")); }
 
     // Lets time pass; the executors of "there" answer looks if they can be reached, and the
     // platform's table can be read if it is up.
@@ -199,7 +190,7 @@
 }
 
 TEST_F(left_domain, is_shared_out_among_the_dispatchers_of_the_others) {
-    m_adoption.set_listed(executors(40, "there"));
+    m_adoption.set_listed(make_executors(40, "there"));
     for (int i = 0; i < 12; i++) {
         hear("third", "elsewhere");
         pass(milliseconds(300));
@@ -209,9 +200,9 @@
 }
 
 TEST_F(left_domain, what_another_entry_has_adopted_is_waited_for) {
-    m_adoption.set_listed(executors(20, "there"));
+    m_adoption.set_listed(make_executors(20, "there"));
     std::vector<std::string> all;
-    for (const auto& it : executors(20, "there")) {
+    for (const auto& it : make_executors(20, "there")) {
         all.push_back(it.id);
     }
     for (int i = 0; i < 15; i++) {
@@ -229,9 +220,9 @@
 // An entry that comes back waits until the helper has let an executor go.
 TEST_F(left_domain, an_entry_that_returns_claims_only_what_is_let_go) {
     hear("helper", "elsewhere", {"here0"});
-    EXPECT_EQ(m_view.own_executors(executors(2, "here"), {}, m_now).size(), 1U);
+    EXPECT_EQ(m_view.own_executors(make_executors(2, "here"), {}, m_now).size(), 1U);
     hear("helper", "elsewhere");
-    EXPECT_EQ(m_view.own_executors(executors(2, "here"), {}, m_now).size(), 2U);
+    EXPECT_EQ(m_view.own_executors(make_executors(2, "here"), {}, m_now).size(), 2U);
 }
 
 } // namespace
--- a/source/unit_tests/fleet_view/view_test.cpp
+++ b/source/unit_tests/fleet_view/view_test.cpp
@@ -3,6 +3,8 @@
 
 #include <gtest/gtest.h>
 
+#include "unit_tests/fleet_view/executors.h"
+
 namespace savorytrail::fleet {
 namespace {
 
@@ -28,15 +30,8 @@
         m_view.hear(it, "10.0.0.9", m_now);
     }
 
-    std::vector<work::executor_info> executors(int n, const std::string& domain = "d") {
-        std::vector<work::executor_info> list;
-        for (int i = 0; i < n; i++) {
-            work::executor_info it;
-            it.id = domain + std::to_string(i);
-            it.failure_domain = domain;
-            list.push_back(it);
-        }
-        return list;
+    static std::vector<work::executor_info> executors(int n, const std::string& domain = "d") {
+        return make_executors(n, domain);
     }
 
     common::time_point m_now = common::time_point(std::chrono::hours(1));
