Admit a job while all slots of this entry are lent

Cause: admission counted usable slots only. Ruled out: an empty manifest or live list; the slots were there and lent. Change: lent slots count when there are no others; the job waits for their return, or is refused when even they are too few for its deadline.

--- a/source/core/dispatch/admission.cpp
+++ b/source/core/dispatch/admission.cpp
@@ -2,6 +2,7 @@
 #include "core/dispatch/admission.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "absl/strings/str_cat.h"
 
@@ -32,6 +33,11 @@
 
 admission_result check_admission(const std::string& upstream, const job_demand& job,
                                  const queue_capacity& queue) {
+    if (queue.slots == 0 && queue.lent > 0) {
+        auto returned = queue;
+        returned.slots = std::exchange(returned.lent, 0);
+        return check_admission(upstream, job, returned);
+    }
     if (queue.slots == 0)
         return refuse(job::reason::no_executors,
                       absl::StrCat("upstream ", upstream, " has no executor that can be used"),
--- a/source/core/dispatch/executor_pool.cpp
+++ b/source/core/dispatch/executor_pool.cpp
@@ -158,6 +158,13 @@
     return n;
 }
 
+std::size_t executor_pool::lent() const {
+    std::size_t n = 0;
+    for (const auto& it : m_members)
+        n += std::min(it.own, it.lent);
+    return n;
+}
+
 bool executor_pool::owns(const std::string& executor) const {
     const std::size_t index = find(executor);
     return index < m_members.size() && m_members[index].own > 0;
--- a/source/core/dispatch/executor_pool.h
+++ b/source/core/dispatch/executor_pool.h
@@ -52,6 +52,7 @@
     std::size_t slots() const { return m_slots; }
     std::size_t idle() const { return m_idle; }
     std::size_t idle_own() const;
+    std::size_t lent() const; // own slots lent to other entries
     bool owns(const std::string& executor) const;
     std::vector<std::string> ejected_borrowed() const;
     // Ejects a healthy executor, unless too many are ejected.
--- a/source/core/dispatch/upstream_queue.cpp
+++ b/source/core/dispatch/upstream_queue.cpp
@@ -120,6 +120,7 @@
     queue.max_queued = m_limits.max_queued_tasks;
     queue.slots = m_pool.slots() + m_borrowable.value_or(0);
     queue.idle = m_pool.idle();
+    queue.lent = m_pool.lent();
     queue.fleet_slots = job.fleet_slots;
     queue.work = m_queue.work();
     queue.task_time =
--- a/source/unit_tests/dispatch/admission_test.cpp
+++ b/source/unit_tests/dispatch/admission_test.cpp
@@ -54,6 +54,12 @@
     return it;
 }
 
+queue_capacity with_lent_slots_only() {
+    auto it = without_slots();
+    it.lent = 10;
+    return it;
+}
+
 INSTANTIATE_TEST_SUITE_P(
     table, admission,
     testing::Values(
@@ -62,6 +68,10 @@
             "short_queue", demand(20, 100, 1000), capacity(30, 3000), job::reason::none, {}},
         admission_case{"no_slots", demand(1, 100, 1000), without_slots(), job::reason::no_executors,
                        milliseconds(1000)},
+        admission_case{"all_slots_lent", demand(1, 100, 1000), with_lent_slots_only(),
+                       job::reason::none, {}},
+        admission_case{"lent_slots_too_few_for_the_deadline", demand(1000, 100, 1000),
+                       with_lent_slots_only(), job::reason::deadline_unreachable, {}},
         admission_case{"task_longer_than_deadline",
                        demand(1, 5000, 1000),
                        capacity(0, 0),
--- a/source/unit_tests/dispatch/upstream_queue_test.cpp
+++ b/source/unit_tests/dispatch/upstream_queue_test.cpp
@@ -50,6 +50,17 @@
     EXPECT_EQ(m_starts.size(), 1U);
 }
 
+// Load pattern: right after a large job that borrowed all slots of this entry, a small one arrives.
+TEST_P(queue_policy, admits_a_job_while_all_slots_are_lent) {
+    m_queue->set_executors(shares(2, 2), m_now, m_starts);
+    const auto lent = m_queue->lend(4);
+    m_queue->set_borrowable(0);
+    EXPECT_TRUE(m_queue->submit(make_job_descriptor(1, 1, m_now), m_now, m_starts).is_accepted);
+    EXPECT_TRUE(m_starts.empty());
+    m_queue->take_back(lent, m_now, m_starts);
+    EXPECT_EQ(m_starts.size(), 1U);
+}
+
 TEST_P(queue_policy, a_cancelled_job_starts_nothing_more) {
     m_queue->set_executors(shares(1, 1), m_now, m_starts);
     const auto job = make_job_descriptor(1, 3, m_now);
