Choose among equally good cells at random, by the capacity that whole tasks can use

Cause: among cells without a wait every entry chose the first by name until its next heartbeat said that it was full. Free capacity was also counted where it lay in pieces too small for a task. Change: gateway/target_choice draws among waits that differ by less than 5 ms, in proportion to free capacity; cells report what whole tasks of the usual size can use.

--- a/source/core/cell/dispatcher.cpp
+++ b/source/core/cell/dispatcher.cpp
@@ -1,6 +1,7 @@
 #include "core/cell/dispatcher.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "core/cell/placement.h"
 
@@ -11,6 +12,8 @@
 
 // Minimum retry delay sent to a caller whose job was refused or given up.
 constexpr milliseconds min_retry_after{1000};
+// Weight of the newest step in the average size of tasks.
+constexpr double task_size_weight = 0.05;
 // Time for the final answer to reach the caller before its patience ends.
 constexpr milliseconds answer_margin{80};
 
@@ -49,10 +52,19 @@
     record.waiters.push_back({ticket, std::move(done)});
     m_jobs.push_back(std::move(record));
     m_by_id[job.id] = std::prev(m_jobs.end());
+    note_task_sizes(job);
     on_resources_freed();
     return ticket;
 }
 
+void dispatcher::note_task_sizes(const work::job& job) {
+    for (const auto& step : job.steps) {
+        const auto size = static_cast<double>(step.task_resources.cpu_millis);
+        const double weight = m_typical_task_cpu_millis == 0 ? 1 : task_size_weight;
+        m_typical_task_cpu_millis += weight * (size - m_typical_task_cpu_millis);
+    }
+}
+
 double dispatcher::waiting_cpu_demand() const {
     double sum = 0;
     for (const auto& it : m_jobs) {
@@ -315,7 +327,10 @@
         if (it->state == claim_state::held && !it->is_retiring && !it->info.is_draining &&
             !it->is_unresponsive() && !it->health.is_quarantined(now)) {
             sum.capacity_cpu_millis += it->info.capacity.cpu_millis;
-            sum.free_cpu_millis += std::max<std::int64_t>(it->free().cpu_millis, 0);
+            const auto free = std::max<std::int64_t>(it->free().cpu_millis, 0);
+            const auto piece = std::max<std::int64_t>(std::llround(m_typical_task_cpu_millis), 1);
+            sum.free_cpu_millis += free;
+            sum.usable_cpu_millis += free / piece * piece;
         }
     }
     if (sum.capacity_cpu_millis > 0) {
--- a/source/core/cell/dispatcher.h
+++ b/source/core/cell/dispatcher.h
@@ -20,6 +20,8 @@
 struct cell_load {
     std::int64_t capacity_cpu_millis = 0; // of the executors that accept work
     std::int64_t free_cpu_millis = 0;
+    // The part of it that typical tasks can use: what is free on an executor in whole tasks.
+    std::int64_t usable_cpu_millis = 0;
     std::int64_t backlog_ms = 0; // time to work off the waiting tasks on all of them
 
     bool operator==(const cell_load&) const = default;
@@ -73,6 +75,7 @@
     void on_failure(job_list::iterator job, task_record& task);
     bool has_stopping_run(const work::task_id& task) const;
     std::optional<work::outcome> check_admission(const job_record& candidate);
+    void note_task_sizes(const work::job& job);
     double waiting_cpu_demand() const;
     double effective_capacity() const;
 
@@ -88,6 +91,7 @@
     fair_admission m_fairness{fair_limits()};
     capacity_meter m_capacity_meter;
     duration_model m_durations;
+    double m_typical_task_cpu_millis = 0; // of recent jobs; 0 before the first
     std::uint64_t m_next_ticket = 1;
     bool m_is_dispatching = false;
 };
--- a/source/core/gateway/gateway.cpp
+++ b/source/core/gateway/gateway.cpp
@@ -28,8 +28,10 @@
 } // namespace
 
 gateway::gateway(const common::clock& clock, fleet::view& view, cell::dispatcher& own,
-                 forwarding_client& client, cell::job_observer& observer)
-    : m_clock(clock), m_view(view), m_own(own), m_client(client), m_observer(observer) {}
+                 forwarding_client& client, cell::job_observer& observer,
+                 common::random_source& random)
+    : m_clock(clock), m_view(view), m_own(own), m_client(client), m_observer(observer),
+      m_random(random) {}
 
 std::uint64_t gateway::submit(work::job job, cell::done_callback done) {
     const auto ticket = m_next_ticket++;
@@ -51,7 +53,7 @@
     const auto own = m_own.load();
     if (own.capacity_cpu_millis > 0 && !tried.contains(self.name)) {
         list.push_back(
-            {self.name, true, {own.capacity_cpu_millis, own.free_cpu_millis, own.backlog_ms}, 0});
+            {self.name, true, {own.capacity_cpu_millis, own.usable_cpu_millis, own.backlog_ms}, 0});
     }
     for (const auto* it : m_view.live_peers(now)) {
         // A stopping dispatcher reports the capacity that it still accepts jobs for.
@@ -69,7 +71,7 @@
 void gateway::place(std::uint64_t ticket) {
     auto& open = m_open.at(ticket);
     const auto list = targets(open.tried);
-    const auto best = choose_target(open.job, list);
+    const auto best = choose_target(open.job, list, m_random);
     if (!best) {
         wait_or_refuse(ticket);
         return;
--- a/source/core/gateway/gateway.h
+++ b/source/core/gateway/gateway.h
@@ -37,7 +37,7 @@
 class gateway {
 public:
     gateway(const common::clock& clock, fleet::view& view, cell::dispatcher& own,
-            forwarding_client& client, cell::job_observer& observer);
+            forwarding_client& client, cell::job_observer& observer, common::random_source& random);
 
     // `done` is called once, possibly before this returns, unless the ticket is abandoned.
     std::uint64_t submit(work::job job, cell::done_callback done);
@@ -79,6 +79,7 @@
     cell::dispatcher& m_own;
     forwarding_client& m_client;
     cell::job_observer& m_observer;
+    common::random_source& m_random;
     std::map<std::uint64_t, open_job> m_open;
     std::set<std::uint64_t> m_waiting; // tickets of jobs that found no dispatcher
     std::map<std::string, std::int64_t> m_sent_since_heartbeat; // thousandths of a core, by entry
--- a/source/core/gateway/target_choice.cpp
+++ b/source/core/gateway/target_choice.cpp
@@ -1,47 +1,81 @@
 #include "core/gateway/target_choice.h"
 
 #include <algorithm>
+#include <numeric>
 
 namespace savorytrail::gateway {
 namespace {
 
 // A job leaves its failure domain only if it is expected to start this much earlier elsewhere.
 constexpr double other_domain_cost_ms = 25;
+// Waits that differ by less are as good as equal: the loads they follow from are older than that.
+constexpr double equal_wait_ms = 5;
+
+std::int64_t first_step_cpu_millis(const work::job& job) {
+    std::int64_t sum = 0;
+    for (const auto& step : job.steps) {
+        if (step.depends_on.empty()) {
+            sum += step.tasks * step.task_resources.cpu_millis;
+        }
+    }
+    return sum;
+}
+
+std::int64_t free_cpu_millis(const target& it) {
+    return it.load.free_cpu_millis - it.sent_since_heartbeat;
+}
 
 double expected_wait_ms(const work::job& job, const target& it) {
     const auto capacity = static_cast<double>(it.load.capacity_cpu_millis);
     if (capacity <= 0) {
         return 1e9;
     }
-    std::int64_t first_step = 0;
-    for (const auto& step : job.steps) {
-        if (step.depends_on.empty()) {
-            first_step += step.tasks * step.task_resources.cpu_millis;
-        }
-    }
-    const auto free = static_cast<double>(it.load.free_cpu_millis - it.sent_since_heartbeat);
-    const auto missing = std::max(0.0, static_cast<double>(first_step) - free);
+    const auto missing = static_cast<double>(
+        std::max<std::int64_t>(0, first_step_cpu_millis(job) - free_cpu_millis(it)));
     // Capacity becomes free at a rate of about the total capacity per duration of a typical task.
     const auto typical_ms =
         static_cast<double>(std::max<std::int64_t>(job.critical_path_length().count(), 100));
     return static_cast<double>(it.load.backlog_ms) + missing / capacity * typical_ms;
 }
 
+// Chooses an index, each with a probability in proportion to its weight.
+std::size_t choose_by_weight(const std::vector<double>& weights, common::random_source& random) {
+    const double sum = std::accumulate(weights.begin(), weights.end(), 0.0);
+    constexpr double steps = 1 << 24;
+    double at = static_cast<double>(random.next() % (1 << 24)) / steps * sum;
+    for (std::size_t i = 0; i + 1 < weights.size(); i++) {
+        at -= weights[i];
+        if (at < 0) {
+            return i;
+        }
+    }
+    return weights.size() - 1;
+}
+
 } // namespace
 
-std::optional<std::size_t> choose_target(const work::job& job, const std::vector<target>& targets) {
-    std::optional<std::size_t> best;
-    double best_cost = 0;
+std::optional<std::size_t> choose_target(const work::job& job, const std::vector<target>& targets,
+                                         common::random_source& random) {
+    if (targets.empty()) {
+        return std::nullopt;
+    }
+    std::vector<double> costs;
+    costs.reserve(targets.size());
+    for (const auto& it : targets) {
+        costs.push_back(expected_wait_ms(job, it) +
+                        (it.is_in_own_domain ? 0 : other_domain_cost_ms));
+    }
+    const double lowest = *std::min_element(costs.begin(), costs.end());
+    std::vector<std::size_t> best;
+    std::vector<double> weights;
     for (std::size_t i = 0; i < targets.size(); i++) {
-        const auto& it = targets[i];
-        const double cost =
-            expected_wait_ms(job, it) + (it.is_in_own_domain ? 0 : other_domain_cost_ms);
-        if (!best || cost < best_cost) {
-            best = i;
-            best_cost = cost;
+        if (costs[i] <= lowest + equal_wait_ms) {
+            best.push_back(i);
+            weights.push_back(
+                static_cast<double>(std::max<std::int64_t>(free_cpu_millis(targets[i]), 1)));
         }
     }
-    return best;
+    return best[choose_by_weight(weights, random)];
 }
 
 } // namespace savorytrail::gateway
--- a/source/core/gateway/target_choice.h
+++ b/source/core/gateway/target_choice.h
@@ -1,5 +1,8 @@
 // Chooses the cell that gets a job: one of this entry's failure domain while it has capacity, or
 // one of another domain when the expected wait there is shorter by more than the cost of leaving.
+// Load pattern: many entries choose by the same loads, reported a while ago. Among cells that are
+// as good as equal, each is chosen at random in proportion to its free capacity, so that the
+// entries do not all choose the same one until its next report.
 #pragma once
 
 #include <cstdint>
@@ -7,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "core/common/random.h"
 #include "core/fleet/entry_state.h"
 #include "core/work/job.h"
 
@@ -23,6 +27,7 @@
 };
 
 // Returns the index of the best target; nullopt when the list is empty.
-std::optional<std::size_t> choose_target(const work::job& job, const std::vector<target>& targets);
+std::optional<std::size_t> choose_target(const work::job& job, const std::vector<target>& targets,
+                                         common::random_source& random);
 
 } // namespace savorytrail::gateway
--- a/source/unit_tests/cell/dispatcher_test.cpp
+++ b/source/unit_tests/cell/dispatcher_test.cpp
@@ -44,6 +44,19 @@
     EXPECT_EQ(m_cell.starts, 4U);
 }
 
+// Load pattern: a cell that is four fifths full of large tasks. What is left on each executor is
+// too small for one more, so another cell must not count on it.
+TEST_F(one_cell, reports_only_what_whole_tasks_can_use_as_usable) {
+    auto job = make_job("a", 4, milliseconds(400));
+    job.steps[0].task_resources.cpu_millis = 50000;
+    submit(job);
+    m_cell.run_for(milliseconds(50));
+    EXPECT_EQ(m_cell.at(0).jobs().load().free_cpu_millis, 4 * 14000);
+    EXPECT_EQ(m_cell.at(0).jobs().load().usable_cpu_millis, 0);
+    m_cell.run_for(milliseconds(600));
+    EXPECT_EQ(m_cell.at(0).jobs().load().usable_cpu_millis, 4 * 50000);
+}
+
 TEST_F(one_cell, runs_a_step_only_after_the_steps_before_it) {
     auto job = make_job("a", 2, milliseconds(100));
     job.steps.push_back(job.steps[0]);
--- a/source/unit_tests/cell/policy_test.cpp
+++ b/source/unit_tests/cell/policy_test.cpp
@@ -221,5 +221,36 @@
     EXPECT_GE(on_time / offered, 0.9);
 }
 
+// Load pattern: long jobs with time to spare come steadily and would fill the executors; short jobs
+// with almost none come in between.
+TEST(mixed_load, keeps_short_jobs_on_time_beside_long_ones) {
+    simulated_cell cell(7, 16, {64000, 131072, 0}, 1);
+    cell.at(0).assign(cell.executor_infos());
+    cell.run_for(milliseconds(100));
+    int short_jobs = 0;
+    int on_time = 0;
+    int long_jobs = 0;
+    int long_on_time = 0;
+    const auto submit = [&](const work::job& job, int& all, int& good) {
+        all++;
+        const auto until = cell.now() + job.objective();
+        cell.at(0).submit(job, [&good, &cell, until](const work::outcome& it) {
+            good += it.end == work::job_end::succeeded && cell.now() <= until ? 1 : 0;
+        });
+    };
+    std::mt19937_64 random(5);
+    for (int i = 0; i < 300; i++) {
+        // 32 tasks fit at once; the long jobs take 23 of these places on average, the short ones 3.
+        submit(make_job("long" + std::to_string(i), 4, milliseconds(900)), long_jobs, long_on_time);
+        const auto offset = static_cast<int>(random() % 160);
+        cell.run_for(milliseconds(offset));
+        submit(make_job("short" + std::to_string(i), 8, milliseconds(60)), short_jobs, on_time);
+        cell.run_for(milliseconds(160 - offset));
+    }
+    cell.run_for(milliseconds(4000));
+    EXPECT_GE(on_time, short_jobs * 9 / 10);
+    EXPECT_GE(long_on_time, long_jobs * 9 / 10);
+}
+
 } // namespace
 } // namespace savorytrail::cell
--- a/source/unit_tests/gateway/gateway_test.cpp
+++ b/source/unit_tests/gateway/gateway_test.cpp
@@ -76,7 +76,8 @@
         {}, m_clock, m_orders, [] { return std::int64_t{1}; }, m_observer};
     cell::dispatcher m_dispatcher{{}, m_clock, m_executor_manager, m_observer};
     fleet::view m_view{{"self", "d", "10.0.0.1", 1, 250}, 7000, {}, m_clock.now()};
-    gateway m_gateway{m_clock, m_view, m_dispatcher, m_client, m_observer};
+    common::seeded_random m_random{1};
+    gateway m_gateway{m_clock, m_view, m_dispatcher, m_client, m_observer, m_random};
     std::vector<work::outcome> m_outcomes;
 };
 
