Look routes up by hash, at a cost that does not grow with their number

Change: route_table indexes hosts and, for each, prefixes by length. A configuration with a prefix that is no path or with two routes for one prefix is not put in force; the log line gives version and reason. Tests: route_test, 1,400 routes of one host, and a table of defects (written with the change; the look-up test passes on the old code too, only slower).

--- a/source/core/route/route_table.h
+++ b/source/core/route/route_table.h
@@ -1,4 +1,6 @@
-// Maps a request's host and path to a queue, according to one version of the configuration.
+// Maps a request's host and path to a queue, according to one version of the configuration. Load
+// pattern: configurations of more than a thousand routes, replaced in quick succession. A look-up
+// takes one hash per length of prefix that the host's routes have, however many they are.
 #pragma once
 
 #include <cstdint>
@@ -7,6 +9,7 @@
 #include <string_view>
 #include <vector>
 
+#include "absl/container/flat_hash_map.h"
 #include "core/work/job.h"
 
 namespace savorytrail::route {
@@ -27,19 +30,31 @@
     bool operator==(const configuration&) const = default;
 };
 
+// Why the configuration cannot be put in force, for the log; nullopt when it can.
+std::optional<std::string> find_defect(const configuration& it);
+
 class route_table {
 public:
     // Replaces the configuration if `newer` has a higher version; otherwise returns false.
     bool adopt(configuration newer);
 
     std::uint64_t version() const { return m_configuration.version; }
+    std::size_t size() const { return m_configuration.routes.size(); }
 
     // The host's route with the longest matching prefix, or nullptr. A port after the host is
     // ignored.
     const route* find(std::string_view host, std::string_view path) const;
 
 private:
+    struct host_routes {
+        absl::flat_hash_map<std::string, std::size_t> by_prefix; // index of the route
+        std::vector<std::size_t> prefix_lengths;                 // each once, longest first
+    };
+
+    void index_routes();
+
     configuration m_configuration;
+    absl::flat_hash_map<std::string, host_routes> m_hosts; // by name in lower case
 };
 
 } // namespace savorytrail::route
--- a/source/unit_tests/route/route_table_test.cpp
+++ b/source/unit_tests/route/route_table_test.cpp
@@ -52,5 +52,45 @@
     EXPECT_NE(table.find("h", "/"), nullptr);
 }
 
+// Load pattern: the configuration grows by more than a thousand routes of one host.
+TEST(route_table, finds_each_of_many_routes) {
+    constexpr int routes = 1400;
+    configuration large{1, {make_route("h.example", "/", "root")}};
+    for (int i = 0; i < routes; i++) {
+        const auto name = "q" + std::to_string(i);
+        large.routes.push_back(make_route("h.example", ("/" + name + "/").c_str(), name.c_str()));
+    }
+    route_table table;
+    EXPECT_TRUE(table.adopt(large));
+    for (int i = 0; i < routes; i++) {
+        const auto name = "q" + std::to_string(i);
+        EXPECT_EQ(table.find("h.example", "/" + name + "/0123456789abcdef")->queue.name, name);
+    }
+    EXPECT_EQ(table.find("h.example", "/q1400/x")->queue.name, "root");
+}
+
+struct defect_case {
+    const char* name;
+    std::vector<route> routes;
+    const char* cause; // part of it; empty: no defect
+};
+
+class defects : public testing::TestWithParam<defect_case> {};
+
+TEST_P(defects, are_told) {
+    const auto cause = find_defect({1, GetParam().routes});
+    EXPECT_EQ(cause.has_value(), *GetParam().cause != 0);
+    EXPECT_NE(cause.value_or("").find(GetParam().cause), std::string::npos);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    table, defects,
+    testing::Values(
+        defect_case{"none", {make_route("h", "/a/", "x"), make_route("i", "/a/", "y")}, ""},
+        defect_case{"no_path", {make_route("h", "a/", "x")}, "is no path"},
+        defect_case{
+            "duplicate", {make_route("h", "/a/", "x"), make_route("H", "/a/", "y")}, "two routes"}),
+    [](const testing::TestParamInfo<defect_case>& it) { return std::string(it.param.name); });
+
 } // namespace
 } // namespace savorytrail::route
