Start small tasks while large ones of another step wait; remove unused fields

Cause: start_waiting_tasks() stopped at the first task without a place, so that a later step's smaller task waited behind it. Change: only the tasks of a step that has no place are passed over. limits::stop_time, run_record::is_wanted and queue_capacity::work were not used.

--- a/source/core/cell/dispatcher.cpp
+++ b/source/core/cell/dispatcher.cpp
@@ -216,9 +216,10 @@
 }
 
 void dispatcher::start_waiting_tasks(job_record& job) {
+    std::optional<int> full_step; // tasks of a step have equal requirements
     for (auto& task : job.tasks()) {
-        if (task.state == task_state::waiting && !start(job, task)) {
-            return; // tasks of a step have equal requirements
+        if (task.state == task_state::waiting && task.step != full_step && !start(job, task)) {
+            full_step = task.step;
         }
     }
 }
--- a/source/core/cell/executor_manager.cpp
+++ b/source/core/cell/executor_manager.cpp
@@ -182,7 +182,6 @@
     if (found == it->runs.end()) {
         return;
     }
-    found->second.is_wanted = false;
     if (found->second.state != run_state::stopping) {
         send_stop(*it, run, found->second);
     }
--- a/source/core/cell/executor_record.h
+++ b/source/core/cell/executor_record.h
@@ -28,7 +28,6 @@
     common::time_point confirmed_at;                        // valid in state `running`
     std::optional<common::time_point> stop_sent_at;         // latest
     std::optional<common::time_point> stop_acknowledged_at; // later start orders are rejected
-    bool is_wanted = true; // false once the dispatcher has stopped it
 };
 
 enum class claim_state {
--- a/source/core/cell/limits.h
+++ b/source/core/cell/limits.h
@@ -24,8 +24,6 @@
     common::milliseconds order_timeout{150};
     // Interval of report requests to an unresponsive executor.
     common::milliseconds unresponsive_retry{400};
-    // Longest time that an executor needs to end a run after a stop order.
-    common::milliseconds stop_time{50};
     // A run counts as stuck after this multiple of its estimate plus the grace time.
     double stuck_factor = 4;
     common::milliseconds stuck_grace{250};
--- a/source/core/dispatch/admission.h
+++ b/source/core/dispatch/admission.h
@@ -29,7 +29,6 @@
     std::size_t idle = 0;               // of the usable slots
     std::size_t lent = 0;               // own slots that other entries return soon
     std::size_t fleet_slots = 0;        // of the upstream at all entries
-    common::milliseconds work{0};       // of all waiting tasks
     common::milliseconds work_ahead{0}; // of the waiting tasks that would be served before the job
     common::milliseconds task_time{0};  // typical for one task
 
--- a/source/core/dispatch/upstream_queue.cpp
+++ b/source/core/dispatch/upstream_queue.cpp
@@ -122,7 +122,6 @@
     queue.idle = m_pool.idle();
     queue.lent = m_pool.lent();
     queue.fleet_slots = job.fleet_slots;
-    queue.work = m_queue.work();
     queue.task_time =
         demand.work / static_cast<std::int64_t>(std::max<std::size_t>(demand.tasks, 1));
     if (m_options.admits && !m_queue.is_empty())
--- a/source/unit_tests/cell/dispatcher_test.cpp
+++ b/source/unit_tests/cell/dispatcher_test.cpp
@@ -44,6 +44,16 @@
     EXPECT_EQ(m_cell.starts, 4U);
 }
 
+TEST_F(one_cell, starts_small_tasks_while_large_ones_of_another_step_wait) {
+    auto job = make_job("a", 5, milliseconds(200), 50000); // one more than there is room for
+    job.steps.push_back(job.steps[0]);
+    job.steps[1].tasks = 1;
+    job.steps[1].task_resources.cpu_millis = 10000;
+    submit(job);
+    m_cell.run_for(milliseconds(50));
+    EXPECT_EQ(m_cell.starts, 5U);
+}
+
 // Load pattern: a cell that is four fifths full of large tasks. What is left on each executor is
 // too small for one more, so another cell must not count on it.
 TEST_F(one_cell, reports_only_what_whole_tasks_can_use_as_usable) {
