--- a/source/core/fleet/heartbeat_sender.cpp
+++ b/source/core/fleet/heartbeat_sender.cpp
@@ -94,38 +94,44 @@
     if (recipients.empty() && hosts.empty()) {
         return {};
     }
-    heartbeat common_part;
-    common_part.sender = m_fleet.self();
-    common_part.status = m_fleet.status();
-    common_part.status.sequence = m_fleet.next_sequence();
-    common_part.wanted_interval = interval_of(link_kind::loose);
+    const heartbeat common_part = make_common_part();
     std::vector<outgoing> list;
     for (const auto& host : hosts) {
         list.push_back({host, "", false, common_part});
     }
-    const auto passing_on = relays(m_fleet, m_fleet.self().failure_domain, now);
-    const bool is_relay =
-        std::find(passing_on.begin(), passing_on.end(), nullptr) != passing_on.end();
-    const news_selection news(m_fleet, is_relay, now);
+    const news_selection news(m_fleet, is_relay(m_fleet, now), now);
     for (const auto& name : recipients) {
         auto& it = m_fleet.peers().at(name);
         it.link.last_sent = now;
         outgoing out{it.address, name, it.uses_previous_format, common_part};
-        if (it.identity.failure_domain == m_fleet.self().failure_domain) {
+        address_to(it, out.content, now);
+        if (m_fleet.is_in_own_domain(it)) {
             out.content.held = held;
         }
-        if (it.last_heard) {
-            out.content.heard_recipient =
-                std::chrono::duration_cast<milliseconds>(now - *it.last_heard);
-        }
-        if (it.link.kind != link_kind::none) {
-            out.content.wanted_interval =
-                it.link.wanted == link_kind::none ? milliseconds(0) : interval_of(it.link.wanted);
-        }
         out.content.news = news.next(it, it.link);
         list.push_back(std::move(out));
     }
     return list;
 }
 
+heartbeat heartbeat_sender::make_common_part() {
+    heartbeat it;
+    it.sender = m_fleet.self();
+    it.status = m_fleet.status();
+    it.status.sequence = m_fleet.next_sequence();
+    it.wanted_interval = interval_of(link_kind::loose); // of probes
+    return it;
+}
+
+void heartbeat_sender::address_to(const peer& recipient, heartbeat& it, time_point now) const {
+    if (recipient.last_heard) {
+        it.heard_recipient = std::chrono::duration_cast<milliseconds>(now - *recipient.last_heard);
+    }
+    if (recipient.link.kind != link_kind::none) {
+        it.wanted_interval = recipient.link.wanted == link_kind::none
+                                 ? milliseconds(0)
+                                 : interval_of(recipient.link.wanted);
+    }
+}
+
 } // namespace savorytrail::fleet
--- a/source/core/fleet/heartbeat_sender.h
+++ b/source/core/fleet/heartbeat_sender.h
@@ -41,6 +41,9 @@
                           common::time_point now) const;
     void add_due_probes(std::vector<std::string>& recipients, common::time_point now);
     std::vector<common::endpoint> due_unidentified_hosts(common::time_point now);
+    heartbeat make_common_part();
+    // Fills in what only this recipient is told.
+    void address_to(const peer& recipient, heartbeat& it, common::time_point now) const;
     common::milliseconds interval_of(link_kind kind) const;
 
     view& m_fleet;
--- a/source/core/fleet/link_choice.cpp
+++ b/source/core/fleet/link_choice.cpp
@@ -2,8 +2,6 @@
 
 #include <algorithm>
 
-#include "core/common/rendezvous.h"
-
 namespace savorytrail::fleet {
 namespace {
 
@@ -46,7 +44,7 @@
     const auto& own = fleet.self();
     if (now - fleet.started() < by.start_time) {
         for (const auto& [name, it] : fleet.peers()) {
-            if (it.identity.failure_domain == own.failure_domain) {
+            if (fleet.is_in_own_domain(it)) {
                 want(to, &it, link_kind::close);
             }
         }
@@ -65,7 +63,7 @@
 void want_other_domains(wishes& to, const view& fleet, const link_choice_limits& by,
                         time_point now) {
     const auto& own = fleet.self();
-    if (!contains_self(relays(fleet, own.failure_domain, now))) {
+    if (!is_relay(fleet, now)) {
         return;
     }
     for (const auto& domain : fleet.live_domains(now)) {
@@ -82,6 +80,10 @@
     return contains_self(acting_entries(fleet, by, now));
 }
 
+bool is_relay(const view& fleet, time_point now) {
+    return contains_self(relays(fleet, fleet.self().failure_domain, now));
+}
+
 ranking relays(const view& fleet, const std::string& domain, time_point now) {
     auto entries = fleet.ranked(domain, now);
     std::size_t n = min_relays;
@@ -102,9 +104,8 @@
     want_own_domain(wanted, fleet, by, holds_executors, now);
     want_other_domains(wanted, fleet, by, now);
     for (auto& [name, it] : fleet.peers()) {
-        if (it.link.in_use_until && now < *it.link.in_use_until) {
-            const bool is_own_domain = it.identity.failure_domain == fleet.self().failure_domain;
-            want(wanted, &it, is_own_domain ? link_kind::close : link_kind::loose);
+        if (view::is_in_use(it, now)) {
+            want(wanted, &it, fleet.link_in_use(it));
         }
     }
     for (auto& [name, it] : fleet.peers()) {
--- a/source/core/fleet/link_choice.h
+++ b/source/core/fleet/link_choice.h
@@ -29,6 +29,9 @@
 // Whether this entry dispatches, or is next in line, in its domain.
 bool is_acting(const view& fleet, const link_choice_limits& by, common::time_point now);
 
+// Whether this entry passes on news of other entries.
+bool is_relay(const view& fleet, common::time_point now);
+
 // The entries of a domain that pass on news: its dispatchers, as far as they are known.
 ranking relays(const view& fleet, const std::string& domain, common::time_point now);
 
--- a/source/core/fleet/view.cpp
+++ b/source/core/fleet/view.cpp
@@ -181,13 +181,12 @@
 }
 
 void view::note_in_use(const std::string& name, time_point now) {
-    constexpr milliseconds use_validity{2000};
     if (const auto it = m_peers.find(name); it != m_peers.end()) {
         auto& entry = it->second;
-        const bool is_new = !entry.link.in_use_until || *entry.link.in_use_until < now;
-        entry.link.in_use_until = now + use_validity;
-        if (is_new) {
-            set_wanted(entry, is_in_own_domain(entry) ? link_kind::close : link_kind::loose, now);
+        const bool was_in_use = is_in_use(entry, now);
+        entry.link.in_use_until = now + m_limits.use_validity;
+        if (!was_in_use) {
+            set_wanted(entry, link_in_use(entry), now);
         }
     }
 }
@@ -257,10 +256,6 @@
     return std::max(m_limits.min_news_timeout, m_limits.news_timeout_per_entry * entries);
 }
 
-bool view::is_in_use(const peer& it, time_point now) {
-    return it.link.in_use_until && now < *it.link.in_use_until;
-}
-
 bool view::hears_this_entry(const peer& it, time_point now) const {
     const bool is_idle = it.link.kind == link_kind::loose && !is_in_use(it, now);
     const auto limit = limits_of(it.link.kind).timeout * (is_idle ? idle_link_patience : 1);
@@ -271,7 +266,7 @@
     return it.heard_this_entry && *it.heard_this_entry <= limit;
 }
 
-bool view::is_vouched_for(const peer& it, time_point now) const {
+bool view::is_heard_by_others(const peer& it, time_point now) const {
     const auto timeout = m_limits.loose_link.timeout;
     return it.link.kind == link_kind::loose && !is_in_use(it, now) && !it.is_disconnected &&
            it.last_heard && now - *it.last_heard <= idle_link_patience * timeout &&
@@ -291,7 +286,7 @@
         const auto since = *it.link.wanted_since;
         const bool was_heard = it.last_heard && *it.last_heard >= since;
         if (was_heard || now - since > limits_of(it.link.wanted).timeout) {
-            return is_vouched_for(it, now); // its heartbeats are wanted, and stay out
+            return is_heard_by_others(it, now); // its heartbeats are wanted, and stay out
         }
     }
     const auto timeout =
--- a/source/core/fleet/view.h
+++ b/source/core/fleet/view.h
@@ -2,9 +2,9 @@
 // Each entry computes this on its own, without consensus, so views may differ for a while. If two
 // entries then claim the same executor, the executor's fencing lets only one of them win.
 //
-// Entries that depend on each other exchange heartbeats over a link (links.h), and judge each other
-// by these alone. Of the others an entry learns by the news in those heartbeats (news_selection.h),
-// later but at a cost that does not grow with the fleet.
+// Entries that depend on each other exchange heartbeats over a link (link_choice.h), and judge each
+// other by these alone. Of the others an entry learns by the news in those heartbeats
+// (news_selection.h), later but at a cost that does not grow with the fleet.
 #pragma once
 
 #include <map>
@@ -30,6 +30,8 @@
     common::milliseconds news_timeout_per_entry{20};
     // How long a request for heartbeats holds without being repeated.
     common::milliseconds request_validity{1500};
+    // How long a link is kept after the last job that needed it.
+    common::milliseconds use_validity{2000};
     // An entry that is lost for longer and that the platform does not list is forgotten.
     common::milliseconds forget_after{60000};
     // An entry listens for this long before it claims executors: from its start, or, if that ends
@@ -139,6 +141,17 @@
     const std::map<std::string, peer>& peers() const { return m_peers; }
     const std::set<std::string>& unidentified_hosts() const { return m_unidentified_hosts; }
     std::uint16_t port() const { return m_port; }
+    // Jobs of one of the two entries are at the other, or were a moment ago.
+    static bool is_in_use(const peer& it, common::time_point now) {
+        return it.link.in_use_until && now < *it.link.in_use_until;
+    }
+    // The link that such jobs need.
+    link_kind link_in_use(const peer& it) const {
+        return is_in_own_domain(it) ? link_kind::close : link_kind::loose;
+    }
+    bool is_in_own_domain(const peer& it) const {
+        return it.identity.failure_domain == m_self.failure_domain;
+    }
     void set_wanted(peer& it, link_kind kind, common::time_point now);
     std::uint64_t next_sequence() { return ++m_status.sequence; }
 
@@ -150,20 +163,16 @@
     };
 
     const derived& derive(common::time_point now) const;
-    bool is_in_own_domain(const peer& it) const {
-        return it.identity.failure_domain == m_self.failure_domain;
-    }
     const link_limits& limits_of(link_kind kind) const {
         return kind == link_kind::close ? m_limits.close_link : m_limits.loose_link;
     }
     common::milliseconds timeout_of(const peer& it, common::time_point now) const;
     common::milliseconds news_timeout() const;
-    // Whether this entry depends on it or gets news of it. The others are not expected to stay.
+    // Whether this entry expects to go on learning of it: there is a link, or it is of this domain.
     bool is_followed(const peer& it) const;
-    // Whether an entry whose heartbeats stay out is live by the news, and no jobs depend on the
+    // Whether an entry whose heartbeats stay out is heard by others, and no jobs depend on the
     // link: then it is more likely that a few datagrams were lost.
-    static bool is_in_use(const peer& it, common::time_point now);
-    bool is_vouched_for(const peer& it, common::time_point now) const;
+    bool is_heard_by_others(const peer& it, common::time_point now) const;
     bool hears_this_entry(const peer& it, common::time_point now) const;
     void update_link(peer& it, common::time_point now);
     // Returns whether the incarnation is new.
@@ -185,8 +194,8 @@
     std::set<std::string> m_unidentified_hosts; // hosts of entries whose name is not known yet
     std::uint64_t m_holdings_version = 1;
     mutable derived m_derived;
-    mutable std::optional<common::time_point>
-        m_derived_at; // reset when a peer or the status changes
+    // The time that m_derived holds for; reset when a peer or the status changes.
+    mutable std::optional<common::time_point> m_derived_at;
 };
 
 } // namespace savorytrail::fleet
