--- a/source/core/fleet/heartbeat_sender.cpp
+++ b/source/core/fleet/heartbeat_sender.cpp
@@ -96,6 +96,7 @@
     }
     const heartbeat common_part = make_common_part();
     std::vector<outgoing> list;
+    list.reserve(hosts.size() + recipients.size());
     for (const auto& host : hosts) {
         list.push_back({host, "", false, common_part});
     }
--- a/source/core/fleet/view.cpp
+++ b/source/core/fleet/view.cpp
@@ -137,7 +137,7 @@
     const bool is_own_domain = content.sender.failure_domain == m_self.failure_domain;
     content.wanted_interval =
         is_own_domain ? m_limits.close_link.interval : m_limits.loose_link.interval;
-    const auto result = receive(content, host, now);
+    auto result = receive(content, host, now);
     if (const auto found = m_peers.find(content.sender.name); found != m_peers.end()) {
         found->second.uses_previous_format = true;
     }
