--- a/source/core/home/home.cpp
+++ b/source/core/home/home.cpp
@@ -77,7 +77,7 @@
     }
     // The observer listens first, so that it knows of the answer before the caller does.
     observe(id, *body);
-    const auto known = query(id, std::move(listener));
+    auto known = query(id, std::move(listener));
     if (known.outcome != request_outcome::waiting)
         return known; // closed by another thread since it was recorded
 
