--- a/source/unit_tests/cell/cell_fuzz_test.cpp
+++ b/source/unit_tests/cell/cell_fuzz_test.cpp
@@ -1,8 +1,8 @@
 // Stateful fuzzing of leased runs: random sequences of jobs, callers that disconnect and resend,
 // holders that crash, freeze and lose executors, network partitions, lost, repeated and late
-// orders, executors that crash and restart. Checks that no task ever has two runs at once. Callers
-// resend as the platform guarantees: 1.3 s after the end of their connection or an answer that a
-// job was given up.
+// orders, executors that crash and restart. Checks that no task ever has two runs at once, and that
+// each caller that stays with a living holder gets an answer. Callers resend as the platform
+// guarantees: 1.3 s after the end of their connection or an answer that a job was given up.
 #include <gtest/gtest.h>
 
 #include <cstdlib>
@@ -20,6 +20,8 @@
 constexpr milliseconds resend{1300};
 // Time within which a holder detects the failure of the entry that passed it a job.
 constexpr int max_detection_ms = 600;
+constexpr milliseconds max_frozen{4200};
+constexpr milliseconds answer_slack{500};
 
 class sequence {
 public:
@@ -54,6 +56,9 @@
             run_random_command();
             m_cell.run_for(milliseconds(static_cast<int>(m_random() % 120)));
         }
+        if (m_cell.violations.empty()) {
+            check_that_all_are_answered();
+        }
         return m_cell.violations;
     }
 
@@ -64,6 +69,18 @@
         bool is_open = true;
     };
 
+    // Nothing more is submitted. By then every holder runs again, and each caller's patience ends.
+    void check_that_all_are_answered() {
+        m_is_over = true;
+        m_cell.run_for(max_frozen + cell::make_job("", 1, milliseconds(0)).patience + answer_slack);
+        for (const auto& it : m_calls) {
+            if (it->is_open && m_is_alive[it->holder]) {
+                m_cell.violations.push_back("the caller of " + m_jobs[it].id + " at holder " +
+                                            std::to_string(it->holder) + " has no answer");
+            }
+        }
+    }
+
     int pick(int n) { return static_cast<int>(m_random() % static_cast<std::uint64_t>(n)); }
 
     // Entries compute the assignment of executors by a common rule, each from its own view.
@@ -88,7 +105,7 @@
 
     void submit(const work::job& job) {
         const int holder = pick(holders);
-        if (!m_is_alive[holder] || !m_cell.at(holder).is_running()) {
+        if (m_is_over || !m_is_alive[holder] || !m_cell.at(holder).is_running()) {
             return;
         }
         const auto it = std::make_shared<call>();
@@ -152,7 +169,7 @@
         case 1: {
             const int holder = pick(holders);
             m_cell.note("freeze holder " + std::to_string(holder));
-            const milliseconds time(200 + pick(4000));
+            const milliseconds time(200 + pick(static_cast<int>(max_frozen.count()) - 200));
             if (pick(2) == 0) {
                 m_cell.at(holder).freeze(time);
             } else {
@@ -209,6 +226,7 @@
     std::vector<std::shared_ptr<call>> m_calls;
     std::map<std::shared_ptr<call>, work::job> m_jobs;
     int m_next = 0;
+    bool m_is_over = false;
 };
 
 // SAVORY_FUZZ_SEED and SAVORY_FUZZ_SEQUENCES replay a single sequence or run more of them.
