--- a/source/unit_tests/fleet_view/entry_network.cpp
+++ b/source/unit_tests/fleet_view/entry_network.cpp
@@ -13,7 +13,8 @@
 } // namespace
 
 entry_network::entry_network(network_plan plan) : m_plan(plan), m_random(plan.seed) {
-    m_nodes.resize(static_cast<std::size_t>(plan.domains * plan.entries_per_domain));
+    m_nodes.resize(static_cast<std::size_t>(plan.domains) *
+                   static_cast<std::size_t>(plan.entries_per_domain));
     for (int i = 0; i < size(); i++) {
         start(i);
     }
