--- a/source/unit_tests/gateway/target_choice_test.cpp
+++ b/source/unit_tests/gateway/target_choice_test.cpp
@@ -36,7 +36,7 @@
     EXPECT_FALSE(choose_target(cell::make_job("a", 2, milliseconds(200)), {}, random));
 }
 
-// Before, all entries of a domain chose the first of its cells, until that reported to be full.
+// If all entries chose the first of them, it would be full while the others stand idle.
 TEST(target_choice, spreads_over_cells_that_are_equally_free) {
     const auto counts = choose_often({make_target("a", 800'000), make_target("b", 800'000),
                                       make_target("c", 800'000), make_target("d", 800'000)},
