Logs: who held a forwarded job, when each side let go of it, and when its runs ended

- At the dispatcher: job_received (entry, age of its last heartbeat, "not live" if it isn't counted so), job_dropped (connection ended, abandoned by that entry, entry lost), runs_stopped (time from the job's end to the end of its last run), stop_unanswered (once a run, after 500 ms without an answer).
- Histogram savory_runs_stopped_seconds.

No decision is changed. platform_explain_test expects tasks_started where it expected task_started, as the event has been renamed; it looks for one event as before.

--- a/source/core/cell/dispatcher.cpp
+++ b/source/core/cell/dispatcher.cpp
@@ -128,11 +128,32 @@
         if (task.state == task_state::active) {
             const auto id = job.id_of(task);
             m_stopping_runs[id]++;
+            m_stopping_jobs.try_emplace(id.job, stopping_job{m_clock.now()}).first->second.runs++;
             m_executor_manager.stop(task.executor, {id, task.last_run_number});
         }
     }
 }
 
+void dispatcher::note_stopped_run(const std::string& job, run_result result) {
+    const auto found = m_stopping_jobs.find(job);
+    if (found == m_stopping_jobs.end()) {
+        return;
+    }
+    auto& it = found->second;
+    const bool ended_by_itself = result == run_result::done || result == run_result::failed;
+    (ended_by_itself ? it.done : it.stopped)++;
+    if (--it.runs > 0) {
+        return;
+    }
+    const auto took = std::chrono::duration_cast<milliseconds>(m_clock.now() - it.closed_at);
+    m_observer.job_event(job, "runs_stopped",
+                         "after " + std::to_string(took.count()) + " ms, " +
+                             std::to_string(it.stopped) + " stopped, " + std::to_string(it.done) +
+                             " ended by themselves");
+    m_observer.runs_stopped(took);
+    m_stopping_jobs.erase(found);
+}
+
 void dispatcher::close(job_list::iterator job, const work::outcome& outcome) {
     m_by_id.erase(job->job().id);
     const job_record closed = std::move(*job);
@@ -211,17 +232,38 @@
     }
     job.set_state(task, task_state::active);
     job.note_start();
-    m_observer.job_event(job.job().id, "task_started", task.executor);
     return true;
 }
 
+void dispatcher::note_starts(const job_record& job,
+                             const std::vector<const task_record*>& started) {
+    if (started.empty()) {
+        return;
+    }
+    std::string executors;
+    for (const auto* it : started) {
+        executors += (executors.empty() ? "" : " ") + it->executor;
+        if (it->last_run_number > 1) {
+            executors += "#" + std::to_string(it->last_run_number);
+        }
+    }
+    m_observer.job_event(job.job().id, "tasks_started", executors);
+}
+
 void dispatcher::start_waiting_tasks(job_record& job) {
+    std::vector<const task_record*> started;
     std::optional<int> full_step; // tasks of a step have equal requirements
     for (auto& task : job.tasks()) {
-        if (task.state == task_state::waiting && task.step != full_step && !start(job, task)) {
+        if (task.state != task_state::waiting || task.step == full_step) {
+            continue;
+        }
+        if (start(job, task)) {
+            started.push_back(&task);
+        } else {
             full_step = task.step;
         }
     }
+    note_starts(job, started);
 }
 
 void dispatcher::on_resources_freed() {
@@ -262,6 +304,7 @@
         if (--stopping->second == 0) {
             m_stopping_runs.erase(stopping);
         }
+        note_stopped_run(run.task.job, result);
         return;
     }
     const auto job = find(run.task.job);
--- a/source/core/cell/dispatcher.h
+++ b/source/core/cell/dispatcher.h
@@ -32,6 +32,9 @@
     virtual ~job_observer() = default;
     virtual void job_event(const std::string& job, std::string_view event,
                            const std::string& detail) = 0;
+    // All runs of a job that were open when the job was closed have ended, the last one this long
+    // after.
+    virtual void runs_stopped(common::milliseconds) {}
 
 protected:
     job_observer() = default;
@@ -69,9 +72,11 @@
     job_list::iterator find(const std::string& id);
     void start_waiting_tasks(job_record& job);
     bool start(job_record& job, task_record& task);
+    void note_starts(const job_record& job, const std::vector<const task_record*>& started);
     void close(job_list::iterator job, const work::outcome& outcome);
     void give_up(job_list::iterator job, const std::string& reason);
     void stop_runs(const job_record& job);
+    void note_stopped_run(const std::string& job, run_result result);
     void on_failure(job_list::iterator job, task_record& task);
     bool has_stopping_run(const work::task_id& task) const;
     std::optional<work::outcome> check_admission(const job_record& candidate);
@@ -88,6 +93,14 @@
     // Number of runs of closed jobs that have not ended yet, by task. Until they end, the task must
     // not be started again.
     absl::flat_hash_map<work::task_id, int> m_stopping_runs;
+    // Closed jobs with such runs, by id.
+    struct stopping_job {
+        common::time_point closed_at; // the first time, if it was sent again and closed again
+        int runs = 0;                 // that have not ended yet
+        int stopped = 0;              // that have ended otherwise than by themselves
+        int done = 0;                 // that have ended by themselves
+    };
+    absl::flat_hash_map<std::string, stopping_job> m_stopping_jobs;
     fair_admission m_fairness{fair_limits()};
     capacity_meter m_capacity_meter;
     duration_model m_durations;
--- a/source/core/cell/executor_manager.cpp
+++ b/source/core/cell/executor_manager.cpp
@@ -12,6 +12,8 @@
 constexpr std::int64_t lease_end_margin_ms = 30;
 // Delay until an unacknowledged stop order is resent.
 constexpr milliseconds stop_retry{200};
+// A stop order that has had no answer for longer is logged.
+constexpr milliseconds unanswered_stop_logged_after{500};
 // Delay before the next start on an executor that rejected one for insufficient resources.
 constexpr milliseconds insufficient_resources_delay{60};
 // Interval of reports while runs of earlier holders are being stopped.
@@ -190,12 +192,32 @@
 void executor_manager::send_stop(executor_record& it, const work::run_key& key, run_record& run) {
     run.state = run_state::stopping;
     run.stop_sent_at = m_clock.now();
+    run.stop_first_sent_at = run.stop_first_sent_at.value_or(*run.stop_sent_at);
     if (it.state == claim_state::lost) {
         return; // the new holder stops the run, or its lease expires
     }
     m_orders.stop(it.info, {key, it.fence});
 }
 
+void executor_manager::note_unanswered_stop(const executor_record& it, const work::run_key& key,
+                                            run_record& run) {
+    if (run.state != run_state::stopping || run.stop_acknowledged_at ||
+        run.is_stop_logged_as_unanswered || !run.stop_first_sent_at) {
+        return;
+    }
+    const auto age =
+        std::chrono::duration_cast<milliseconds>(m_clock.now() - *run.stop_first_sent_at);
+    if (age < unanswered_stop_logged_after) {
+        return;
+    }
+    run.is_stop_logged_as_unanswered = true;
+    m_observer.executor_changed(it.info.id, "stop_unanswered",
+                                "job " + key.task.job + ", step " + std::to_string(key.task.step) +
+                                    ", task " + std::to_string(key.task.index) + ", run " +
+                                    std::to_string(key.number) + ": for " +
+                                    std::to_string(age.count()) + " ms");
+}
+
 void executor_manager::note_failure(const std::string& executor, bool is_first) {
     if (auto* it = find(executor)) {
         const auto now = m_clock.now();
@@ -475,6 +497,7 @@
     const auto now = m_clock.now();
     std::vector<work::run_key> expired;
     for (auto& [key, run] : it.runs) {
+        note_unanswered_stop(it, key, run);
         if (run.state == run_state::running && now - run.started_at > run.time_limit) {
             m_observer.executor_changed(it.info.id, "executor_rested", "a run is overdue");
             it.health.note_overdue(now);
--- a/source/core/cell/executor_manager.h
+++ b/source/core/cell/executor_manager.h
@@ -110,6 +110,7 @@
     void request_next_report(executor_record& it);
     void renew_if_due(executor_record& it);
     void send_stop(executor_record& it, const work::run_key& key, run_record& run);
+    void note_unanswered_stop(const executor_record& it, const work::run_key& key, run_record& run);
     void resend_start(executor_record& it, const work::run_key& key, run_record& run);
     void finish_run(executor_record& it, const work::run_key& key, run_result result,
                     work::order_status status = work::order_status::accepted);
--- a/source/core/cell/executor_record.h
+++ b/source/core/cell/executor_record.h
@@ -24,9 +24,11 @@
     common::milliseconds time_limit{0}; // a run that takes longer is considered stuck
     run_state state = run_state::starting;
     common::time_point started_at;
-    int starts_sent = 1;                                    // 2 after a resend
-    common::time_point confirmed_at;                        // valid in state `running`
-    std::optional<common::time_point> stop_sent_at;         // latest
+    int starts_sent = 1;                                  // 2 after a resend
+    common::time_point confirmed_at;                      // valid in state `running`
+    std::optional<common::time_point> stop_sent_at;       // latest
+    std::optional<common::time_point> stop_first_sent_at; // for the log
+    bool is_stop_logged_as_unanswered = false;
     std::optional<common::time_point> stop_acknowledged_at; // later start orders are rejected
 };
 
--- a/source/core/fleet/view.cpp
+++ b/source/core/fleet/view.cpp
@@ -299,6 +299,11 @@
     return it != nullptr && is_live(*it, now);
 }
 
+bool view::is_deaf(const peer& it, time_point now) const {
+    return it.last_heard && now - *it.last_heard <= timeout_of(it, now) &&
+           !hears_this_entry(it, now);
+}
+
 bool view::is_followed(const peer& it) const {
     return it.link.kind != link_kind::none || is_in_own_domain(it);
 }
--- a/source/core/fleet/view.h
+++ b/source/core/fleet/view.h
@@ -100,6 +100,8 @@
     const peer* find(const std::string& name) const;
     bool is_live(const std::string& name, common::time_point now) const;
     bool is_live(const peer& it, common::time_point now) const;
+    // Whether the entry's heartbeats arrive, but do not show that it hears this one.
+    bool is_deaf(const peer& it, common::time_point now) const;
     // All live entries but this one.
     std::vector<const peer*> live_peers(common::time_point now) const;
     // Failure domains with an entry that is live and not leaving, this entry included.
--- a/source/core/gateway/forwarding_http.cpp
+++ b/source/core/gateway/forwarding_http.cpp
@@ -1,5 +1,6 @@
 #include "core/gateway/forwarding_http.h"
 
+#include "core/fleet/describe_link.h"
 #include "core/gateway/forwarding_codec.h"
 
 namespace savorytrail::gateway {
@@ -61,7 +62,8 @@
     }
     if (const auto it = decode_abandoned(request.body)) {
         drop_if(
-            [&](const received_job& open) { return open.job == it->id && open.from == it->from; });
+            [&](const received_job& open) { return open.job == it->id && open.from == it->from; },
+            "abandoned by that entry");
     }
     answer->send({200, {}, "", protobuf_type});
     return true;
@@ -75,26 +77,36 @@
         return;
     }
     const auto number = m_next_number++;
+    const received_job received{passed->from, passed->job.id, 0};
+    m_observer.job_event(received.job, "job_received",
+                         received.from + ": " + describe_heartbeat(received.from));
     m_view.note_in_use(passed->from, m_clock.now());
-    m_open[number] = {passed->from, passed->job.id, 0};
+    m_open[number] = received;
     const auto ticket = m_own.submit(passed->job, [this, number, answer](const work::outcome& it) {
         m_open.erase(number);
         answer->send({200, {}, encode(it), protobuf_type});
     });
     if (const auto it = m_open.find(number); it != m_open.end()) {
         it->second.ticket = ticket;
-        answer->on_disconnect([this, number] { drop(number); });
+        answer->on_disconnect([this, number] { drop(number, "connection ended"); });
     }
 }
 
-void forwarding_service::drop(std::uint64_t number) {
+std::string forwarding_service::describe_heartbeat(const std::string& entry) const {
+    return fleet::describe_last_heartbeat(m_view, entry, m_clock.now());
+}
+
+void forwarding_service::drop(std::uint64_t number, std::string_view reason) {
     const auto it = m_open.find(number);
     if (it == m_open.end()) {
         return;
     }
-    const auto ticket = it->second.ticket;
+    const received_job dropped = it->second;
     m_open.erase(it);
-    m_own.abandon(ticket);
+    m_observer.job_event(dropped.job, "job_dropped",
+                         dropped.from + ": " + std::string(reason) + ", " +
+                             describe_heartbeat(dropped.from));
+    m_own.abandon(dropped.ticket);
 }
 
 void forwarding_service::tick() {
@@ -104,10 +116,11 @@
 }
 
 void forwarding_service::on_entry_lost(const std::string& name) {
-    drop_if([&](const received_job& open) { return open.from == name; });
+    drop_if([&](const received_job& open) { return open.from == name; }, "entry lost");
 }
 
-void forwarding_service::drop_if(const std::function<bool(const received_job&)>& matches) {
+void forwarding_service::drop_if(const std::function<bool(const received_job&)>& matches,
+                                 std::string_view reason) {
     std::vector<std::uint64_t> numbers;
     for (const auto& [number, it] : m_open) {
         if (matches(it)) {
@@ -115,7 +128,7 @@
         }
     }
     for (const auto number : numbers) {
-        drop(number);
+        drop(number, reason);
     }
 }
 
--- a/source/core/gateway/forwarding_http.h
+++ b/source/core/gateway/forwarding_http.h
@@ -28,8 +28,9 @@
 // The server side, on the entry whose dispatcher gets the job.
 class forwarding_service {
 public:
-    forwarding_service(const common::clock& clock, fleet::view& view, cell::dispatcher& own)
-        : m_clock(clock), m_view(view), m_own(own) {}
+    forwarding_service(const common::clock& clock, fleet::view& view, cell::dispatcher& own,
+                       cell::job_observer& observer)
+        : m_clock(clock), m_view(view), m_own(own), m_observer(observer) {}
 
     // Returns false when the request is not for this service.
     bool handle(const reactor::http_request& request,
@@ -48,12 +49,15 @@
 
     void accept(const reactor::http_request& request,
                 const std::shared_ptr<reactor::responder>& answer);
-    void drop(std::uint64_t number);
-    void drop_if(const std::function<bool(const received_job&)>& matches);
+    // `reason`: for the log.
+    void drop(std::uint64_t number, std::string_view reason);
+    void drop_if(const std::function<bool(const received_job&)>& matches, std::string_view reason);
+    std::string describe_heartbeat(const std::string& entry) const;
 
     const common::clock& m_clock;
     fleet::view& m_view;
     cell::dispatcher& m_own;
+    cell::job_observer& m_observer;
     std::map<std::uint64_t, received_job> m_open;
     std::uint64_t m_next_number = 1;
 };
--- a/source/core/gateway/gateway.cpp
+++ b/source/core/gateway/gateway.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "core/fleet/describe_link.h"
+
 namespace savorytrail::gateway {
 namespace {
 
@@ -170,8 +172,11 @@
     if (it == m_open.end()) {
         return;
     }
-    m_view.note_connection_lost(it->second.target);
-    m_observer.job_event(it->second.job.id, "pass_lost", it->second.target + ": " + ec.message());
+    const auto& target = it->second.target;
+    m_observer.job_event(it->second.job.id, "pass_lost",
+                         target + ": " + ec.message() + ", " +
+                             fleet::describe_link(m_view, target, m_clock.now()));
+    m_view.note_connection_lost(target);
     if (ec == common::error::unreachable) {
         place(ticket);
         return;
@@ -197,6 +202,13 @@
     }
 }
 
+void gateway::note_caller_left(const open_job& job) {
+    const auto age = std::chrono::duration_cast<milliseconds>(m_clock.now() - job.arrived);
+    m_observer.job_event(job.job.id, "caller_left",
+                         "after " + std::to_string(age.count()) + " ms" +
+                             (job.cancel ? ", forwarded to " + job.target : ""));
+}
+
 void gateway::abandon(std::uint64_t ticket) {
     const auto it = m_open.find(ticket);
     if (it == m_open.end()) {
@@ -204,6 +216,7 @@
     }
     auto open = std::move(it->second);
     m_open.erase(it);
+    note_caller_left(open);
     if (open.target == m_view.self().name) {
         m_own.abandon(open.own_ticket);
         return;
--- a/source/core/gateway/gateway.h
+++ b/source/core/gateway/gateway.h
@@ -73,6 +73,7 @@
     void on_outcome(std::uint64_t ticket, const work::outcome& outcome);
     void on_forwarding_failed(std::uint64_t ticket, std::error_code ec);
     void finish(std::uint64_t ticket, const work::outcome& outcome);
+    void note_caller_left(const open_job& job);
 
     const common::clock& m_clock;
     fleet::view& m_view;
--- a/source/core/log_story/job_story.cpp
+++ b/source/core/log_story/job_story.cpp
@@ -6,6 +6,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
+#include "absl/strings/str_split.h"
 
 namespace savorytrail::log_story {
 namespace {
@@ -18,9 +19,9 @@
 
 const std::set<std::string> entry_incidents = {"started",    "stopping",     "stopped",
                                                "entry_lost", "loop_stalled", "lines_suppressed"};
-const std::set<std::string> executor_incidents = {"executor_taken",  "executor_silent",
-                                                  "executor_reborn", "executor_rested",
-                                                  "executor_let_go", "executor_adopted"};
+const std::set<std::string> executor_incidents = {
+    "executor_taken",  "executor_silent",  "executor_reborn", "executor_rested",
+    "executor_let_go", "executor_adopted", "stop_unanswered"};
 
 void sort_by_time(std::vector<log_event>& events) {
     std::stable_sort(events.begin(), events.end(),
@@ -39,7 +40,7 @@
             attempts.push_back({it.node, it.at_us, std::nullopt, "", "", {}});
             continue;
         }
-        const bool is_end = it.is("job_answered") || it.is("job_abandoned");
+        const bool is_end = it.is("job_answered") || it.is("caller_left") || it.is("job_abandoned");
         const auto open =
             std::find_if(attempts.rbegin(), attempts.rend(), [&](const attempt& candidate) {
                 return candidate.entry == it.node && !candidate.end_us;
@@ -223,6 +224,18 @@
     return missing;
 }
 
+// The executors that tasks were started on. A line of `tasks_started` names several, each with the
+// number of the task's run unless it is the first, as in "i-1 i-2#2"; versions before it wrote a
+// line `task_started` for each.
+std::vector<std::string> started_on(const log_event& it) {
+    std::vector<std::string> executors;
+    const auto detail = it.field("detail");
+    for (const absl::string_view word : absl::StrSplit(detail, ' ', absl::SkipEmpty())) {
+        executors.emplace_back(word.substr(0, word.find('#')));
+    }
+    return executors;
+}
+
 std::vector<log_event> find_incidents(const job_story& story, const std::vector<log_event>& log) {
     std::set<std::string> entries;
     std::set<std::string> executors;
@@ -230,8 +243,9 @@
         entries.insert(it.node);
         if (it.is("job_passed")) {
             entries.insert(it.field("detail"));
-        } else if (it.is("task_started")) {
-            executors.insert(it.field("detail"));
+        } else if (it.is("tasks_started") || it.is("task_started")) {
+            const auto started = started_on(it);
+            executors.insert(started.begin(), started.end());
         }
     }
     std::vector<log_event> list;
--- a/source/core/telemetry/job_metrics.cpp
+++ b/source/core/telemetry/job_metrics.cpp
@@ -3,7 +3,7 @@
 namespace savorytrail::telemetry {
 namespace {
 
-enum family_index : std::size_t { answers, events };
+enum family_index : std::size_t { answers, events, stops };
 
 std::vector<family> make_families() {
     return {
@@ -15,6 +15,10 @@
          "Decisions and changes of belief, by their name in the log.",
          metric_kind::counter,
          {}},
+        {"savory_runs_stopped_seconds",
+         "Time from a job's closing to the end of its last run, of jobs with runs to stop.",
+         metric_kind::histogram,
+         {0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1, 1.3, 2, 5}},
     };
 }
 
@@ -27,6 +31,10 @@
                        std::chrono::duration<double>(response).count());
 }
 
+void job_metrics::observe_runs_stopped(std::chrono::milliseconds after) {
+    m_registry.observe(stops, {}, std::chrono::duration<double>(after).count());
+}
+
 void job_metrics::count_event(std::string_view event) {
     m_registry.add(events, {{"event", std::string(event)}});
 }
--- a/source/core/telemetry/job_metrics.h
+++ b/source/core/telemetry/job_metrics.h
@@ -14,6 +14,8 @@
 
     // A caller's job was answered; `response` is the time since it arrived.
     void observe_answer(std::string_view end, std::chrono::milliseconds response);
+    // All runs of a closed job have ended, the last one this long after the job was closed.
+    void observe_runs_stopped(std::chrono::milliseconds after);
     // A decision or a state change, by its event name in the log.
     void count_event(std::string_view event);
 
--- a/source/integration_tests/platform_explain_test.cpp
+++ b/source/integration_tests/platform_explain_test.cpp
@@ -93,7 +93,7 @@
         text.find("the connection to its dispatcher failed; front-0 was reported lost by 1 entry"),
         std::string::npos)
         << text;
-    EXPECT_NE(text.find("task_started"), std::string::npos) << text;
+    EXPECT_NE(text.find("tasks_started"), std::string::npos) << text;
 }
 
 TEST_F(explained, a_job_that_fails_wherever_it_runs) {
--- a/source/unit_tests/cell/dispatcher_test.cpp
+++ b/source/unit_tests/cell/dispatcher_test.cpp
@@ -108,6 +108,74 @@
     EXPECT_TRUE(m_outcomes.empty());
 }
 
+// The lines of the trace that contain `text`, from there on.
+std::vector<std::string> find_in(const std::vector<std::string>& trace, const std::string& text) {
+    std::vector<std::string> list;
+    for (const auto& it : trace) {
+        if (const auto at = it.find(text); at != std::string::npos) {
+            list.push_back(it.substr(at));
+        }
+    }
+    return list;
+}
+
+// Guards against issue 26's gap: a line for each task reached the cap of lines a second.
+TEST_F(one_cell, logs_a_round_of_starts_as_one_line_with_repeated_runs_marked) {
+    int runs = 0;
+    m_cell.actual_run = [&](const work::job& job, const work::task_id&) {
+        return simulated_executor::simulated_task{job.steps[0].task_resources, milliseconds(50),
+                                                  runs++ == 0};
+    };
+    m_cell.is_tracing = true;
+    submit(make_job("a", 3, milliseconds(50), 50000));
+    m_cell.run_for(milliseconds(300));
+    ASSERT_EQ(end_of("a"), job_end::succeeded);
+    const auto lines = find_in(m_cell.trace, "a tasks_started: ");
+    ASSERT_EQ(lines.size(), 2U);
+    EXPECT_EQ(std::count(lines[0].begin(), lines[0].end(), 'e'), 4) << lines[0];
+    EXPECT_EQ(lines[0].find('#'), std::string::npos) << lines[0];
+    EXPECT_TRUE(lines[1].ends_with("#2")) << lines[1];
+}
+
+// Guards against issue 26's gap: nothing told how long after a job's end its runs went on.
+TEST_F(one_cell, logs_when_the_last_run_of_a_closed_job_has_ended) {
+    const auto ticket = submit(make_job("a", 3, milliseconds(1000)));
+    m_cell.run_for(milliseconds(100));
+    m_cell.is_tracing = true;
+    m_cell.at(0).abandon(ticket);
+    m_cell.run_for(milliseconds(100));
+    EXPECT_EQ(
+        find_in(m_cell.trace, "a runs_stopped: "),
+        std::vector<std::string>{"a runs_stopped: after 4 ms, 3 stopped, 0 ended by themselves"});
+}
+
+TEST_F(one_cell, logs_no_stopped_runs_of_a_job_that_has_none) {
+    m_cell.is_tracing = true;
+    submit(make_job("a", 2, milliseconds(50)));
+    m_cell.run_for(milliseconds(300));
+    ASSERT_EQ(end_of("a"), job_end::succeeded);
+    EXPECT_TRUE(find_in(m_cell.trace, "runs_stopped").empty());
+}
+
+// Guards against issue 26's gap: nothing told that a stop order had no effect for long.
+TEST_F(one_cell, logs_once_that_a_stop_order_is_unanswered) {
+    const auto ticket = submit(make_job("a", 1, milliseconds(1500)));
+    m_cell.run_for(milliseconds(20)); // most of the run's lease is left
+    m_cell.is_tracing = true;
+    for (int i = 0; i < 4; i++) {
+        m_cell.partitions.insert({0, i});
+    }
+    m_cell.at(0).abandon(ticket);
+    m_cell.run_for(milliseconds(480));
+    EXPECT_TRUE(find_in(m_cell.trace, "stop_unanswered").empty());
+    m_cell.run_for(milliseconds(2000));
+    const auto lines = find_in(m_cell.trace, "stop_unanswered");
+    ASSERT_EQ(lines.size(), 1U);
+    EXPECT_TRUE(lines[0].starts_with("stop_unanswered: job a, step 0, task 0, run 1: for 5"))
+        << lines[0];
+    EXPECT_EQ(find_in(m_cell.trace, "a runs_stopped: ").size(), 1U);
+}
+
 TEST_F(one_cell, joins_a_resent_job_to_the_running_one) {
     const auto first = submit(make_job("a", 1, milliseconds(200)));
     m_cell.run_for(milliseconds(50));
--- a/source/unit_tests/gateway/gateway_test.cpp
+++ b/source/unit_tests/gateway/gateway_test.cpp
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 
 #include "core/gateway/forwarding_codec.h"
+#include "core/gateway/forwarding_http.h"
 #include "unit_tests/cell/jobs.h"
 
 namespace savorytrail::gateway {
@@ -43,10 +44,23 @@
     void forget(const work::executor_info&) override {}
 };
 
-class null_observer final : public cell::job_observer, public cell::executor_observer {
+// Keeps the events of jobs as "EVENT DETAIL".
+class event_recorder final : public cell::job_observer, public cell::executor_observer {
 public:
-    void job_event(const std::string&, std::string_view, const std::string&) override {}
+    void job_event(const std::string&, std::string_view event, const std::string& detail) override {
+        events.push_back(std::string(event) + " " + detail);
+    }
     void executor_changed(const std::string&, std::string_view, std::string_view) override {}
+
+    std::vector<std::string> events;
+};
+
+class fake_responder final : public reactor::responder {
+public:
+    void send(reactor::http_response) override {}
+    void on_disconnect(std::function<void()> callback) override { disconnect = callback; }
+
+    std::function<void()> disconnect;
 };
 
 class a_gateway : public testing::Test {
@@ -69,7 +83,7 @@
 
     common::manual_clock m_clock;
     std::uint64_t m_sequence = 1;
-    null_observer m_observer;
+    event_recorder m_observer;
     null_order_sink m_orders;
     fake_forwarding_client m_client;
     cell::executor_manager m_executor_manager{
@@ -175,6 +189,109 @@
     EXPECT_EQ(m_gateway.open_jobs(), 0U);
 }
 
+TEST_F(a_gateway, logs_when_a_caller_left_and_where_its_job_was) {
+    receive("near", "d", 640000);
+    const auto ticket = submit();
+    m_clock.advance(milliseconds(70));
+    m_gateway.abandon(ticket);
+    EXPECT_EQ(m_observer.events.back(), "caller_left after 70 ms, forwarded to near");
+    m_gateway.abandon(ticket);
+    EXPECT_EQ(m_observer.events.size(), 2U);
+}
+
+// Guards against issue 26's gap: the log did not tell how the link was when an entry gave up on it.
+TEST_F(a_gateway, logs_the_state_of_the_link_when_the_connection_to_a_dispatcher_is_lost) {
+    receive("near", "d", 640000);
+    submit();
+    m_clock.advance(milliseconds(90));
+    m_client.sent[0].done(make_error_code(common::error::connection_lost));
+    EXPECT_EQ(m_observer.events.back(),
+              "pass_lost near: " + make_error_code(common::error::connection_lost).message() +
+                  ", last heartbeat 90 ms ago, it had heard this entry 1 ms before");
+}
+
+class a_forwarding_service : public a_gateway {
+protected:
+    // Receives a job that the entry "near" forwards.
+    std::shared_ptr<fake_responder> receive_job() {
+        auto answer = std::make_shared<fake_responder>();
+        post("/jobs", encode(passed_job{cell::make_job("a", 1, milliseconds(200)), "near"}),
+             answer);
+        return answer;
+    }
+
+    void post(const std::string& path, const std::string& body,
+              const std::shared_ptr<fake_responder>& answer = std::make_shared<fake_responder>()) {
+        reactor::http_request request;
+        request.method = "POST";
+        request.target = path;
+        request.body = body;
+        ASSERT_TRUE(m_service.handle(request, answer));
+    }
+
+    // Gives the own dispatcher an executor, so that it admits jobs.
+    void hold_an_executor() {
+        work::executor_info info;
+        info.id = "e0";
+        info.upstream = "u";
+        info.capacity = {64000, 131072, 0};
+        m_executor_manager.assign({info});
+        work::run_report report;
+        report.clock_ms = 1;
+        report.start_time_ms = 1;
+        m_executor_manager.on_report("e0", 1, work::order_status::accepted, report);
+    }
+
+    forwarding_service m_service{m_clock, m_view, m_dispatcher, m_observer};
+};
+
+// Guards against issue 26's gap: a dispatcher's log named neither a job's entry nor its state.
+TEST_F(a_forwarding_service, logs_from_whom_a_job_came_and_whether_that_entry_is_live) {
+    receive_job();
+    EXPECT_EQ(m_observer.events.at(0), "job_received near: no heartbeat yet, not live");
+    m_observer.events.clear();
+    receive("near", "d", 0);
+    m_clock.advance(milliseconds(30));
+    receive_job();
+    EXPECT_EQ(m_observer.events.at(0), "job_received near: last heartbeat 30 ms ago");
+}
+
+struct drop_case {
+    const char* name;
+    const char* detail;
+};
+
+class a_dropped_job : public a_forwarding_service, public testing::WithParamInterface<drop_case> {};
+
+TEST_P(a_dropped_job, is_logged_with_the_reason_and_the_age_of_the_last_heartbeat) {
+    hold_an_executor();
+    receive("near", "d", 0);
+    const auto answer = receive_job();
+    ASSERT_EQ(m_dispatcher.open_jobs(), 1U);
+    m_clock.advance(milliseconds(120));
+    m_observer.events.clear();
+    const std::string name = GetParam().name;
+    if (name == "connection_ended") {
+        answer->disconnect();
+    } else if (name == "abandoned") {
+        post("/abandoned", encode(abandoned_job{"a", "near"}));
+    } else {
+        m_service.on_entry_lost("near");
+    }
+    EXPECT_EQ(m_observer.events,
+              (std::vector<std::string>{std::string("job_dropped ") + GetParam().detail,
+                                        "job_abandoned its caller has left"}));
+    EXPECT_EQ(m_dispatcher.open_jobs(), 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    all, a_dropped_job,
+    testing::Values(
+        drop_case{"connection_ended", "near: connection ended, last heartbeat 120 ms ago"},
+        drop_case{"abandoned", "near: abandoned by that entry, last heartbeat 120 ms ago"},
+        drop_case{"entry_lost", "near: entry lost, last heartbeat 120 ms ago"}),
+    [](const auto& it) { return it.param.name; });
+
 TEST(forwarding_codec, keeps_all_fields_of_a_job) {
     passed_job it{cell::make_job("a", 3, milliseconds(70)), "entry-1"};
     it.job.steps[0].required_label = "fast";
--- a/source/unit_tests/log_story/job_story_test.cpp
+++ b/source/unit_tests/log_story/job_story_test.cpp
@@ -148,6 +148,25 @@
     EXPECT_EQ(story.attempts[1].cause, "succeeded within 100 ms");
 }
 
+// Both the line for each task that earlier versions wrote and the line for several tasks.
+TEST(job_story, has_the_incidents_of_all_executors_that_tasks_were_started_on) {
+    const auto story = reconstruct_story(
+        job, {job_event(0, "f1", "job_taken", "q"), job_event(1, "f1", "task_started", "x1"),
+              job_event(2, "f1", "tasks_started", "x2 x3#2"),
+              job_event(500, "f1", "job_answered", "succeeded"),
+              other_event(50, "f1", "executor_silent", "executor", "x1"),
+              other_event(51, "f1", "stop_unanswered", "executor", "x2"),
+              other_event(52, "f1", "executor_rested", "executor", "x3"),
+              other_event(53, "f1", "executor_rested", "executor", "x3#2"),
+              other_event(54, "f1", "executor_rested", "executor", "x4")});
+    std::vector<std::string> names;
+    for (const auto& it : story.incidents) {
+        names.push_back(it.name + " " + it.field("executor"));
+    }
+    EXPECT_EQ(names, (std::vector<std::string>{"executor_silent x1", "stop_unanswered x2",
+                                               "executor_rested x3"}));
+}
+
 TEST(job_story, is_empty_without_log_lines_of_the_job) {
     EXPECT_TRUE(
         reconstruct_story(job, {other_event(1, "f1", "entry_lost", "entry", "f2")}).events.empty());
--- a/source/unit_tests/telemetry/metrics_test.cpp
+++ b/source/unit_tests/telemetry/metrics_test.cpp
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "core/telemetry/entry_metrics.h"
+#include "core/telemetry/job_metrics.h"
 #include "core/telemetry/scrape.h"
 
 namespace savorytrail::telemetry {
@@ -77,6 +78,18 @@
               1);
 }
 
+TEST(job_metrics, count_the_time_to_the_end_of_the_last_run_in_seconds) {
+    job_metrics metrics;
+    metrics.observe_runs_stopped(milliseconds(250));
+    exposition out;
+    metrics.write(out);
+    const auto result = read_back(out);
+    const std::string name = "savory_runs_stopped_seconds";
+    EXPECT_EQ(value_of(result, name + "_bucket", {{"le", "0.3"}}), 1);
+    EXPECT_EQ(value_of(result, name + "_bucket", {{"le", "0.2"}}), 0);
+    EXPECT_EQ(value_of(result, name + "_sum"), 0.25);
+}
+
 struct ratio_case {
     int response_ms;
     int ideal_ms;
