savoryctl explain: a job with attempts at several dispatchers, and whether their runs may have overlapped

Two corrections on the way: a job_abandoned of a dispatcher ended an attempt whose caller the same entry held, though it was about a job passed on by another entry; and a caller that leaves ends the oldest open attempt at its entry, as it may have sent the job again.

A dispatcher logs job_failed, as the end of a failed job had no line there.

--- a/source/core/cell/dispatcher.cpp
+++ b/source/core/cell/dispatcher.cpp
@@ -352,6 +352,7 @@
     task.avoid = task.executor;
     m_observer.job_event(job->job().id, "task_failed", task.executor);
     if (task.failures >= job->job().queue.max_attempts) {
+        m_observer.job_event(job->job().id, "job_failed", "a task failed as often as allowed");
         close(job, {work::job_end::failed, "a task failed as often as allowed", {}});
         return;
     }
--- a/source/core/control/explain_log.cpp
+++ b/source/core/control/explain_log.cpp
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_format.h"
 #include "core/control/report.h"
 #include "core/log_story/job_story.h"
 
@@ -56,6 +57,12 @@
     return static_cast<double>(us) / 1000;
 }
 
+void print_missing(const std::vector<std::string>& missing, std::ostream& out) {
+    for (const auto& it : missing) {
+        out << "    missing: " << it << "\n";
+    }
+}
+
 void print_attempt(std::size_t number, const attempt& it, std::ostream& out) {
     out << "attempt " << number << ", received by " << it.entry << ": "
         << (it.outcome.empty() ? "no outcome" : it.outcome);
@@ -64,8 +71,38 @@
             << " ms";
     }
     out << "\n    " << it.cause << "\n";
-    for (const auto& missing : it.missing) {
-        out << "    missing: " << missing << "\n";
+    print_missing(it.missing, out);
+}
+
+std::string describe(const log_story::finding& it, std::int64_t begin_us) {
+    if (!it.at_us) {
+        return "not logged";
+    }
+    return absl::StrFormat("at %.1f ms, %s", to_ms(*it.at_us - begin_us), it.how);
+}
+
+void print_dispatch(const log_story::dispatch& it, std::int64_t begin_us, std::ostream& out) {
+    out << "dispatched by " << it.dispatcher << ", "
+        << (it.attempt == 0 ? std::string("attempt unknown") : absl::StrCat("attempt ", it.attempt))
+        << ", caller held by " << (it.entry.empty() ? "an entry that is not logged" : it.entry)
+        << "\n";
+    if (it.first_start_us) {
+        out << absl::StrFormat("    first start:            at %.1f ms\n",
+                               to_ms(*it.first_start_us - begin_us))
+            << "    over, learnt by entry:  " << describe(it.entry_learnt, begin_us) << "\n"
+            << "    over, at dispatcher:    " << describe(it.dispatcher_learnt, begin_us) << "\n"
+            << "    last run ended:         " << describe(it.runs_over, begin_us) << "\n";
+    }
+    print_missing(it.missing, out);
+}
+
+void print_dispatchers(const job_story& story, std::ostream& out) {
+    for (const auto& it : story.dispatches) {
+        print_dispatch(it, story.events.front().at_us, out);
+    }
+    for (const auto& it : story.successions) {
+        out << it.verdict << "\n";
+        print_missing(it.missing, out);
     }
 }
 
@@ -76,6 +113,7 @@
     if (story.attempts.empty()) {
         out << "no entry logged that it received the job from its caller\n";
     }
+    print_dispatchers(story, out);
     auto lines = story.events;
     lines.insert(lines.end(), story.incidents.begin(), story.incidents.end());
     std::stable_sort(lines.begin(), lines.end(),
@@ -92,6 +130,34 @@
     return {{"at_us", it.at_us}, {"node", it.node}, {"event", it.name}, {"fields", it.fields}};
 }
 
+json to_json(const std::optional<std::int64_t>& it) {
+    return it ? json(*it) : json(nullptr);
+}
+
+json to_json(const log_story::finding& it) {
+    return {{"at_us", to_json(it.at_us)}, {"how", it.how}};
+}
+
+json to_json(const log_story::dispatch& it) {
+    return {{"dispatcher", it.dispatcher},
+            {"entry", it.entry},
+            {"attempt", it.attempt},
+            {"begin_us", it.begin_us},
+            {"first_start_us", to_json(it.first_start_us)},
+            {"entry_learnt", to_json(it.entry_learnt)},
+            {"dispatcher_learnt", to_json(it.dispatcher_learnt)},
+            {"runs_over", to_json(it.runs_over)},
+            {"missing", it.missing}};
+}
+
+json to_json(const log_story::succession& it) {
+    return {{"first", it.first},
+            {"second", it.second},
+            {"gap_us", to_json(it.gap_us)},
+            {"verdict", it.verdict},
+            {"missing", it.missing}};
+}
+
 json to_json(const job_story& story) {
     json attempts = json::array();
     for (const auto& it : story.attempts) {
@@ -101,6 +167,14 @@
                             {"cause", it.cause},
                             {"missing", it.missing}});
     }
+    json dispatches = json::array();
+    for (const auto& it : story.dispatches) {
+        dispatches.push_back(to_json(it));
+    }
+    json successions = json::array();
+    for (const auto& it : story.successions) {
+        successions.push_back(to_json(it));
+    }
     json events = json::array();
     for (const auto& it : story.events) {
         events.push_back(to_json(it));
@@ -109,8 +183,8 @@
     for (const auto& it : story.incidents) {
         incidents.push_back(to_json(it));
     }
-    return {
-        {"job", story.job}, {"attempts", attempts}, {"events", events}, {"incidents", incidents}};
+    return {{"job", story.job},           {"attempts", attempts}, {"dispatches", dispatches},
+            {"successions", successions}, {"events", events},     {"incidents", incidents}};
 }
 
 } // namespace
--- a/source/core/log_story/job_story.cpp
+++ b/source/core/log_story/job_story.cpp
@@ -33,6 +33,18 @@
     return it.at_us >= this_attempt.begin_us - margin_us && it.at_us <= end + margin_us;
 }
 
+// A dispatcher logs job_abandoned also for jobs of other entries' callers.
+bool ends_attempt(const log_event& it, const std::vector<log_event>& events) {
+    if (it.is("job_answered") || it.is("caller_left")) {
+        return true;
+    }
+    return it.is("job_abandoned") &&
+           std::none_of(events.begin(), events.end(), [&](const log_event& other) {
+               return other.node == it.node &&
+                      (other.is("job_received") || other.is("caller_left"));
+           });
+}
+
 std::vector<attempt> find_attempts(const std::vector<log_event>& events) {
     std::vector<attempt> attempts;
     for (const auto& it : events) {
@@ -40,12 +52,20 @@
             attempts.push_back({it.node, it.at_us, std::nullopt, "", "", {}});
             continue;
         }
-        const bool is_end = it.is("job_answered") || it.is("caller_left") || it.is("job_abandoned");
-        const auto open =
-            std::find_if(attempts.rbegin(), attempts.rend(), [&](const attempt& candidate) {
-                return candidate.entry == it.node && !candidate.end_us;
-            });
-        if (is_end && open != attempts.rend()) {
+        if (!ends_attempt(it, events)) {
+            continue;
+        }
+        const auto is_open = [&](const attempt& candidate) {
+            return candidate.entry == it.node && !candidate.end_us;
+        };
+        // A caller that leaves is most likely the one that came first; it may have sent the job
+        // again meanwhile.
+        auto open = std::find_if(attempts.begin(), attempts.end(), is_open);
+        if (it.is("job_answered")) {
+            const auto last = std::find_if(attempts.rbegin(), attempts.rend(), is_open);
+            open = last == attempts.rend() ? attempts.end() : std::prev(last.base());
+        }
+        if (open != attempts.end()) {
             open->end_us = it.at_us;
             open->outcome = it.is("job_answered") ? it.field("detail") : "abandoned";
         }
@@ -277,6 +297,8 @@
     sort_by_time(story.events);
     story.attempts = find_attempts(story.events);
     story.incidents = find_incidents(story, log);
+    story.dispatches = find_dispatches(story.events, story.incidents, story.attempts);
+    story.successions = find_successions(story.dispatches, story.incidents);
     for (auto& it : story.attempts) {
         it.cause = find_cause(story, it);
         it.missing = find_missing_information(story, it);
--- a/source/integration_tests/platform_explain_test.cpp
+++ b/source/integration_tests/platform_explain_test.cpp
@@ -1,5 +1,5 @@
 // `savoryctl explain` finds the cause of a failed request from its id and the logs of real
-// processes alone, for the three procedures of docs/OPERATIONS.md.
+// processes alone, for the first three procedures of docs/OPERATIONS.md.
 #include <array>
 #include <cstdio>
 #include <cstdlib>
@@ -94,6 +94,11 @@
         std::string::npos)
         << text;
     EXPECT_NE(text.find("tasks_started"), std::string::npos) << text;
+    EXPECT_NE(text.find("job_received"), std::string::npos) << text;
+    EXPECT_NE(text.find("dispatched by front-0, attempt 1, caller held by front-1"),
+              std::string::npos)
+        << text;
+    EXPECT_NE(text.find("missing: the end of the attempt at front-0"), std::string::npos) << text;
 }
 
 TEST_F(explained, a_job_that_fails_wherever_it_runs) {
--- a/source/unit_tests/cell/dispatcher_test.cpp
+++ b/source/unit_tests/cell/dispatcher_test.cpp
@@ -14,6 +14,17 @@
 
 constexpr work::resources small_vm{64000, 131072, 0};
 
+// The lines of the trace that contain `text`, from there on.
+std::vector<std::string> find_in(const std::vector<std::string>& trace, const std::string& text) {
+    std::vector<std::string> list;
+    for (const auto& it : trace) {
+        if (const auto at = it.find(text); at != std::string::npos) {
+            list.push_back(it.substr(at));
+        }
+    }
+    return list;
+}
+
 class one_cell : public testing::Test {
 protected:
     explicit one_cell(int executors = 4) : m_cell(7, executors, small_vm, 1) {
@@ -91,10 +102,12 @@
         return simulated_executor::simulated_task{job.steps[0].task_resources, milliseconds(10),
                                                   true};
     };
+    m_cell.is_tracing = true;
     submit(make_job("a", 1, milliseconds(10)));
     m_cell.run_for(milliseconds(300));
     EXPECT_EQ(end_of("a"), job_end::failed);
     EXPECT_EQ(m_cell.starts, 3U);
+    EXPECT_EQ(find_in(m_cell.trace, "a job_failed: ").size(), 1U);
 }
 
 TEST_F(one_cell, stops_the_runs_of_an_abandoned_job) {
@@ -108,17 +121,6 @@
     EXPECT_TRUE(m_outcomes.empty());
 }
 
-// The lines of the trace that contain `text`, from there on.
-std::vector<std::string> find_in(const std::vector<std::string>& trace, const std::string& text) {
-    std::vector<std::string> list;
-    for (const auto& it : trace) {
-        if (const auto at = it.find(text); at != std::string::npos) {
-            list.push_back(it.substr(at));
-        }
-    }
-    return list;
-}
-
 // Guards against issue 26's gap: a line for each task reached the cap of lines a second.
 TEST_F(one_cell, logs_a_round_of_starts_as_one_line_with_repeated_runs_marked) {
     int runs = 0;
--- a/source/unit_tests/log_story/job_story_test.cpp
+++ b/source/unit_tests/log_story/job_story_test.cpp
@@ -107,6 +107,15 @@
      "abandoned",
      "its caller disconnected before the answer",
      {}},
+    {"left_by_its_caller_while_forwarded",
+     {job_event(0, "f1", "job_taken", "q"), job_event(1, "f1", "job_passed", "f2"),
+      job_event(2, "f2", "job_received", "f1: last heartbeat 10 ms ago"),
+      job_event(200, "f1", "caller_left", "after 200 ms, forwarded to f2"),
+      job_event(201, "f2", "job_dropped", "f1: connection ended, last heartbeat 10 ms ago"),
+      job_event(201, "f2", "job_abandoned", "its caller has left")},
+     "abandoned",
+     "its caller disconnected before the answer",
+     {}},
     {"succeeded_after_a_failure",
      {job_event(0, "f1", "job_taken", "q"), job_event(50, "f1", "task_failed", "x1"),
       job_event(120, "f1", "job_answered", "succeeded")},
@@ -167,6 +176,19 @@
                                                "executor_rested x3"}));
 }
 
+// A dispatcher that abandons an attempt of another entry's caller may hold the next attempt.
+TEST(job_story, does_not_end_an_attempt_when_its_entry_abandons_one_that_was_forwarded_to_it) {
+    const auto story = reconstruct_story(
+        job, {job_event(0, "f1", "job_taken", "q"), job_event(1, "f1", "job_passed", "f2"),
+              job_event(2, "f2", "job_received", "f1: last heartbeat 10 ms ago"),
+              job_event(1300, "f2", "job_taken", "q"), job_event(1301, "f2", "job_passed", "f3"),
+              job_event(1400, "f2", "job_abandoned", "its caller has left"),
+              job_event(1500, "f2", "job_answered", "succeeded")});
+    ASSERT_EQ(story.attempts.size(), 2U);
+    EXPECT_EQ(story.attempts[1].outcome, "succeeded");
+    EXPECT_EQ(story.attempts[1].end_us, 1'500'000);
+}
+
 TEST(job_story, is_empty_without_log_lines_of_the_job) {
     EXPECT_TRUE(
         reconstruct_story(job, {other_event(1, "f1", "entry_lost", "entry", "f2")}).events.empty());
