--- a/source/unit_tests/cells/simulated_callers.cpp
+++ b/source/unit_tests/cells/simulated_callers.cpp
@@ -149,6 +149,9 @@
 }
 
 void simulated_callers::reset(const std::shared_ptr<simulated_call>& it) {
+    if (it->cuts_requests || it->cuts_answers) {
+        return; // neither end learns of it
+    }
     break_at_caller(it);
     leave(it, milliseconds(m_fleet.pick(max_notice_ms)));
 }
--- a/source/unit_tests/cells/simulated_callers.h
+++ b/source/unit_tests/cells/simulated_callers.h
@@ -45,7 +45,8 @@
 
     // Calls that are open at the caller's end.
     std::vector<std::shared_ptr<simulated_call>> open_calls() const;
-    // The caller sees its connection break; the entry is told within 50 ms.
+    // The caller sees its connection break, and the entry is told within 50 ms; nothing happens if
+    // the way between them is cut.
     void reset(const std::shared_ptr<simulated_call>& it);
     void on_entry_ended(const simulated_entry& entry);
 
--- a/source/unit_tests/cells/simulated_fleet.cpp
+++ b/source/unit_tests/cells/simulated_fleet.cpp
@@ -133,22 +133,34 @@
     }
 }
 
-void simulated_fleet::await_end(int executor, std::function<void()> work) {
-    m_awaiting_end.emplace_back(executor, std::move(work));
+void simulated_fleet::await_end(int executor, std::function<void()> on_end,
+                                std::function<void()> on_crash) {
+    m_awaited_ends.push_back({executor, std::move(on_end), std::move(on_crash)});
 }
 
 void simulated_fleet::call_back_on_ends() {
-    for (std::size_t i = 0; i < m_awaiting_end.size();) {
-        if (m_executors[m_awaiting_end[i].first]->unacknowledged() == 0) {
+    for (std::size_t i = 0; i < m_awaited_ends.size();) {
+        if (m_executors[m_awaited_ends[i].executor]->unacknowledged() == 0) {
             i++;
             continue;
         }
-        const auto work = std::move(m_awaiting_end[i].second);
-        m_awaiting_end.erase(m_awaiting_end.begin() + static_cast<std::ptrdiff_t>(i));
+        const auto work = std::move(m_awaited_ends[i].on_end);
+        m_awaited_ends.erase(m_awaited_ends.begin() + static_cast<std::ptrdiff_t>(i));
         work();
     }
 }
 
+void simulated_fleet::crash_executor(int i) {
+    note("crash of " + m_executors[i]->info().id);
+    m_executors[i]->crash(m_time.now());
+    for (const auto& it : m_awaited_ends) {
+        if (it.executor == i) {
+            it.on_crash();
+        }
+    }
+    std::erase_if(m_awaited_ends, [i](const auto& it) { return it.executor == i; });
+}
+
 std::map<work::task_id, std::set<std::string>> simulated_fleet::runs_by_task() const {
     std::map<work::task_id, std::set<std::string>> executors;
     for (const auto& it : m_executors) {
--- a/source/unit_tests/cells/simulated_fleet.h
+++ b/source/unit_tests/cells/simulated_fleet.h
@@ -42,6 +42,8 @@
     int executors() const { return static_cast<int>(m_executors.size()); }
     cell::simulated_executor& executor(int i) { return *m_executors.at(i); }
     int executor_domain(int i) const { return m_executor_domains.at(i); }
+    // Restarts the executor with all state lost; breaks the connections to it.
+    void crash_executor(int i);
     // Domains with a run of the job now.
     std::set<int> domains_running(const std::string& job) const;
     order_faults& orders_between(int slot, int executor) { return m_orders[{slot, executor}]; }
@@ -71,10 +73,16 @@
 
     // Called by simulated_orders.
     void note_started() { m_has_started = true; }
-    // Calls back when the executor has ended runs to report.
-    void await_end(int executor, std::function<void()> work);
+    // Calls back when the executor has ended runs to report, or when its process has crashed.
+    void await_end(int executor, std::function<void()> on_end, std::function<void()> on_crash);
 
 private:
+    struct awaited_end {
+        int executor = 0;
+        std::function<void()> on_end;
+        std::function<void()> on_crash;
+    };
+
     void start_entry(int slot);
     void add_executors();
     void advance_executors();
@@ -93,7 +101,7 @@
     std::vector<simulated_entry*> m_current;                   // by slot
     std::map<std::pair<int, int>, order_faults> m_orders;      // by slot and executor
     std::map<std::string, work::job> m_jobs;                   // by id
-    std::vector<std::pair<int, std::function<void()>>> m_awaiting_end;
+    std::vector<awaited_end> m_awaited_ends;
     std::uint64_t m_next_incarnation = 1;
     common::time_point m_advanced_to;
     bool m_has_started = false;                                // a run, since the last check
--- a/source/unit_tests/cells/simulated_orders.cpp
+++ b/source/unit_tests/cells/simulated_orders.cpp
@@ -138,7 +138,11 @@
                     reply();
                 }
             };
-            m_fleet.await_end(number, reply_once);
+            m_fleet.await_end(number, reply_once, [=, this] {
+                if (std::exchange(*is_awaited, false)) {
+                    fail_report(number, is_answered, request.number);
+                }
+            });
             m_fleet.time().after(request.wait, reply_once);
         });
     }
@@ -149,6 +153,22 @@
     });
 }
 
+// The executor's machine resets the connection.
+void simulated_orders::fail_report(int executor, const std::shared_ptr<bool>& is_answered,
+                                   std::uint64_t number) {
+    if (m_fleet.orders_between(m_owner.slot(), executor).cuts_answers) {
+        return;
+    }
+    m_fleet.time().after(one_way_delay, [=, this] {
+        m_owner.deliver([=, this] {
+            if (!std::exchange(*is_answered, true)) {
+                m_manager->on_report(m_fleet.executor(executor).info().id, number,
+                                     work::order_status::no_answer, {});
+            }
+        });
+    });
+}
+
 void simulated_orders::answer_report(int executor, const std::shared_ptr<bool>& is_answered,
                                      std::uint64_t number, bool is_lost) {
     if (is_lost || m_fleet.orders_between(m_owner.slot(), executor).cuts_answers) {
--- a/source/unit_tests/cells/simulated_orders.h
+++ b/source/unit_tests/cells/simulated_orders.h
@@ -47,6 +47,8 @@
     void answer_report(int executor, const std::shared_ptr<bool>& is_answered, std::uint64_t number,
                        bool is_lost);
 
+    void fail_report(int executor, const std::shared_ptr<bool>& is_answered, std::uint64_t number);
+
     simulated_fleet& m_fleet;
     simulated_entry& m_owner;
     cell::executor_manager* m_manager = nullptr;
