--- a/source/core/cell/dispatcher.cpp
+++ b/source/core/cell/dispatcher.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 using common::milliseconds;
+using common::time_point;
 
 // Minimum retry delay sent to a caller whose job was refused or given up.
 constexpr milliseconds min_retry_after{1000};
@@ -16,6 +17,7 @@
 constexpr double task_size_weight = 0.05;
 // Time for the final answer to reach the caller before its patience ends.
 constexpr milliseconds answer_margin{80};
+constexpr const char* unrenewed = "its entry does not confirm that the caller still waits";
 
 milliseconds run_time_limit(const limits& by, const work::step& step, int lost_runs) {
     const double factor = by.stuck_factor * static_cast<double>(1 << std::min(lost_runs, 4));
@@ -37,19 +39,68 @@
 }
 
 std::uint64_t dispatcher::submit(const work::job& job, done_callback done) {
+    waiter it;
+    it.done = std::move(done);
+    return add(job, std::move(it));
+}
+
+std::uint64_t dispatcher::submit_leased(const work::job& job, time_point held_until,
+                                        done_callback done) {
+    return add(job, make_leased_waiter(held_until, std::move(done)));
+}
+
+time_point dispatcher::removal_time(time_point held_until) const {
+    return held_until - m_limits.stop_lead;
+}
+
+waiter dispatcher::make_leased_waiter(time_point held_until, done_callback done) const {
+    waiter it;
+    it.done = std::move(done);
+    it.held_until = held_until;
+    it.remove_at =
+        std::max(removal_time(held_until), m_clock.now() + m_limits.first_renewal_timeout);
+    return it;
+}
+
+void dispatcher::renew(const std::string& job, std::uint64_t ticket, time_point held_until) {
+    const auto open = find(job);
+    if (open == m_jobs.end()) {
+        return;
+    }
+    const bool could_start = may_start(*open);
+    for (auto& it : open->waiters) {
+        if (it.ticket == ticket) {
+            it.held_until = std::max(it.held_until, held_until);
+            it.remove_at = std::max(it.remove_at, removal_time(held_until));
+        }
+    }
+    if (held_until > m_clock.now()) {
+        remove_earlier_waiters(*open, ticket);
+    }
+    if (!could_start && may_start(*open) && open->has_waiting()) {
+        on_resources_freed();
+    }
+}
+
+std::uint64_t dispatcher::add(const work::job& job, waiter first) {
     const auto ticket = m_next_ticket++;
+    first.ticket = ticket;
     if (const auto open = find(job.id); open != m_jobs.end()) {
-        open->waiters.push_back({ticket, std::move(done)});
+        const bool is_live = first.held_until > m_clock.now();
+        open->waiters.push_back(std::move(first));
         m_observer.job_event(job.id, "job_joined", "sent again while the job is open");
+        if (is_live) {
+            remove_earlier_waiters(*open, ticket);
+        }
         return ticket;
     }
     job_record record(m_durations.with_predicted_durations(job), job, m_limits, m_clock.now());
     if (const auto refusal = check_admission(record)) {
         m_observer.job_event(job.id, "job_refused", refusal->reason);
-        done(*refusal);
+        first.done(*refusal);
         return ticket;
     }
-    record.waiters.push_back({ticket, std::move(done)});
+    record.waiters.push_back(std::move(first));
     m_jobs.push_back(std::move(record));
     m_by_id[job.id] = std::prev(m_jobs.end());
     note_task_sizes(job);
@@ -114,22 +165,23 @@
         if (it == waiters.end()) {
             continue;
         }
+        const auto runs_end_by = std::min(job->held_until(), m_clock.now() + m_limits.job_lease);
         waiters.erase(it);
         if (waiters.empty()) {
             m_observer.job_event(job->job().id, "job_abandoned", "its caller has left");
-            close(job, {});
+            close(job, {}, runs_end_by);
         }
         return;
     }
 }
 
-void dispatcher::stop_runs(const job_record& job) {
+void dispatcher::stop_runs(const job_record& job, time_point runs_end_by) {
     for (const auto& task : job.tasks()) {
         if (task.state == task_state::active) {
             const auto id = job.id_of(task);
             m_stopping_runs[id]++;
             m_stopping_jobs.try_emplace(id.job, stopping_job{m_clock.now()}).first->second.runs++;
-            m_executor_manager.stop(task.executor, {id, task.last_run_number});
+            m_executor_manager.stop(task.executor, {id, task.last_run_number}, runs_end_by);
         }
     }
 }
@@ -154,20 +206,76 @@
     m_stopping_jobs.erase(found);
 }
 
-void dispatcher::close(job_list::iterator job, const work::outcome& outcome) {
+void dispatcher::close(job_list::iterator job, const work::outcome& outcome,
+                       time_point runs_end_by) {
     m_by_id.erase(job->job().id);
     const job_record closed = std::move(*job);
     m_jobs.erase(job);
-    stop_runs(closed);
+    stop_runs(closed, runs_end_by);
     for (const auto& it : closed.waiters) {
         it.done(outcome);
     }
 }
 
+void dispatcher::close(job_list::iterator job, const work::outcome& outcome) {
+    // From now on, its caller may count the time after which it resends the job.
+    close(job, outcome, std::min(job->held_until(), m_clock.now() + m_limits.job_lease));
+}
+
+work::outcome dispatcher::given_up_outcome(const job_record& job, const std::string& reason) const {
+    const auto end = job.may_have_run() ? work::job_end::given_up : work::job_end::not_run;
+    m_observer.job_event(job.job().id,
+                         end == work::job_end::given_up ? "job_given_up" : "job_refused", reason);
+    return {end, reason, min_retry_after};
+}
+
 void dispatcher::give_up(job_list::iterator job, const std::string& reason) {
-    const bool ran = job->may_have_run();
-    m_observer.job_event(job->job().id, ran ? "job_given_up" : "job_refused", reason);
-    close(job, {ran ? work::job_end::given_up : work::job_end::not_run, reason, min_retry_after});
+    close(job, given_up_outcome(*job, reason));
+}
+
+void dispatcher::remove_earlier_waiters(job_record& job, std::uint64_t ticket) {
+    std::vector<waiter> removed;
+    std::erase_if(job.waiters, [&](waiter& it) {
+        const bool is_earlier = it.ticket < ticket;
+        if (is_earlier) {
+            removed.push_back(std::move(it));
+        }
+        return is_earlier;
+    });
+    for (const auto& it : removed) {
+        it.done({work::job_end::given_up, "its caller has sent it again", {}});
+    }
+}
+
+bool dispatcher::remove_unrenewed_waiters(job_list::iterator job, time_point now) {
+    auto& waiters = job->waiters;
+    const auto rest = std::stable_partition(waiters.begin(), waiters.end(),
+                                            [now](const waiter& it) { return now < it.remove_at; });
+    if (rest == waiters.end()) {
+        return false;
+    }
+    if (rest == waiters.begin()) {
+        give_up(job, unrenewed);
+        return true;
+    }
+    const std::vector<waiter> removed(std::make_move_iterator(rest),
+                                      std::make_move_iterator(waiters.end()));
+    waiters.erase(rest, waiters.end());
+    m_observer.job_event(job->job().id, "job_lease_ended", unrenewed);
+    for (const auto& it : removed) {
+        it.done({work::job_end::given_up, unrenewed, min_retry_after});
+    }
+    return false;
+}
+
+bool dispatcher::may_start(const job_record& job) const {
+    // A run that starts gets the lease that its executor has for others.
+    return job.held_until() - m_clock.now() > executor_clock::longest(m_limits.lease);
+}
+
+time_point dispatcher::may_run_until(const work::run_key& run) const {
+    const auto job = m_by_id.find(run.task.job);
+    return job == m_by_id.end() ? time_point::min() : job->second->held_until();
 }
 
 void dispatcher::tick() {
@@ -176,6 +284,9 @@
     bool has_waiting_tasks = false;
     for (auto it = m_jobs.begin(); it != m_jobs.end();) {
         const auto job = it++;
+        if (remove_unrenewed_waiters(job, now)) {
+            continue;
+        }
         has_waiting_tasks = has_waiting_tasks || job->has_waiting();
         const auto group = rank_of(*job, now).group;
         if (now + answer_margin >= job->give_up_at()) {
@@ -274,7 +385,7 @@
     const auto now = m_clock.now();
     std::vector<std::pair<rank, job_record*>> order;
     for (auto& it : m_jobs) {
-        if (it.has_waiting()) {
+        if (it.has_waiting() && may_start(it)) {
             order.emplace_back(rank_of(it, now), &it);
         }
     }
@@ -361,7 +472,9 @@
 
 void dispatcher::on_suspended() {
     for (auto it = m_jobs.begin(); it != m_jobs.end();) {
-        give_up(it++, "this VM stood still");
+        const auto job = it++;
+        // Callers may have left when the VM stopped, so the runs get no time beyond their leases.
+        close(job, given_up_outcome(*job, "this VM stood still"), m_clock.now());
     }
 }
 
--- a/source/core/cell/dispatcher.h
+++ b/source/core/cell/dispatcher.h
@@ -47,14 +47,23 @@
     dispatcher(limits by, const common::clock& clock, executor_manager& manager,
                job_observer& observer);
 
-    // Submits a job and returns a ticket for abandon(). `done` is called exactly once, possibly
-    // before this returns, unless the ticket is abandoned first. A job that is open already is
-    // joined, not run twice.
+    // Submits a job of a caller of this entry and returns a ticket for abandon(). `done` is called
+    // exactly once, possibly before this returns, unless the ticket is abandoned first. A job that
+    // is open already is joined, not run twice.
     std::uint64_t submit(const work::job& job, done_callback done);
+    // The same for a job that another entry holds the caller of. Its tasks run only until the end
+    // of the lease that this entry has granted, so that none is left when the caller, disconnected
+    // from that entry, has resent the job to a third one. The lease may have ended already: then
+    // nothing starts before it is renewed.
+    std::uint64_t submit_leased(const work::job& job, common::time_point held_until,
+                                done_callback done);
+    // Extends the lease of a ticket of submit_leased() for this job; never shortens it.
+    void renew(const std::string& job, std::uint64_t ticket, common::time_point held_until);
     // Removes the ticket's waiter. A job without waiters is stopped.
     void abandon(std::uint64_t ticket);
 
-    // Gives up jobs that cannot be answered in time; call about every 50 ms.
+    // Gives up jobs that cannot be answered in time, and waiters whose lease is about to end; call
+    // about every 50 ms.
     void tick();
 
     cell_load load() const;
@@ -65,17 +74,31 @@
     void on_suspended() override;
     void on_run_duration(const work::run_key& run, common::milliseconds took) override;
     void on_resources_freed() override;
+    common::time_point may_run_until(const work::run_key& run) const override;
 
 private:
     using job_list = std::list<job_record>;
 
     job_list::iterator find(const std::string& id);
+    std::uint64_t add(const work::job& job, waiter first);
+    waiter make_leased_waiter(common::time_point held_until, done_callback done) const;
+    common::time_point removal_time(common::time_point held_until) const;
+    // Returns whether the job was closed, as no waiter is left.
+    bool remove_unrenewed_waiters(job_list::iterator job, common::time_point now);
+    bool may_start(const job_record& job) const;
+    // A caller has one attempt at a time. So once a later attempt is known to be live, the earlier
+    // ones have ended, even if nothing has shown so, and must not keep the job running.
+    void remove_earlier_waiters(job_record& job, std::uint64_t ticket);
     void start_waiting_tasks(job_record& job);
     bool start(job_record& job, task_record& task);
     void note_starts(const job_record& job, const std::vector<const task_record*>& started);
+    // Runs of the job end by `runs_end_by` at the latest.
+    void close(job_list::iterator job, const work::outcome& outcome,
+               common::time_point runs_end_by);
     void close(job_list::iterator job, const work::outcome& outcome);
     void give_up(job_list::iterator job, const std::string& reason);
-    void stop_runs(const job_record& job);
+    work::outcome given_up_outcome(const job_record& job, const std::string& reason) const;
+    void stop_runs(const job_record& job, common::time_point runs_end_by);
     void note_stopped_run(const std::string& job, run_result result);
     void on_failure(job_list::iterator job, task_record& task);
     bool has_stopping_run(const work::task_id& task) const;
--- a/source/core/cell/executor_clock.h
+++ b/source/core/cell/executor_clock.h
@@ -26,6 +26,17 @@
     // Discards all readings: a restarted executor counts from zero.
     void reset() { m_observed_ms.reset(); }
 
+    // The reading by which a lease granted now has to end, so that it has certainly expired
+    // `duration` from now.
+    std::int64_t end_of_lease(common::time_point now, common::milliseconds duration) const {
+        return estimate(now) + duration.count() * min_rate_percent / 100;
+    }
+
+    // The longest that a lease of `duration` on an executor's clock can last.
+    static common::milliseconds longest(common::milliseconds duration) {
+        return duration * 100 / min_rate_percent + common::milliseconds(1);
+    }
+
     // A lower bound of the executor's clock; meaningless unless is_known().
     std::int64_t estimate(common::time_point now) const {
         const auto passed =
--- a/source/core/cell/executor_manager.cpp
+++ b/source/core/cell/executor_manager.cpp
@@ -25,7 +25,7 @@
 executor_manager::executor_manager(limits by, const common::clock& clock, order_sink& orders,
                                    fence_source fences, executor_observer& observer)
     : m_limits(by), m_clock(clock), m_orders(orders), m_fences(std::move(fences)),
-      m_observer(observer), m_suspended(clock.suspended()), m_last_tick(clock.now()) {}
+      m_observer(observer), m_stalls(clock, by.catch_up_after) {}
 
 executor_record* executor_manager::find(const std::string& executor) {
     const auto it = m_executors.find(executor);
@@ -101,8 +101,23 @@
     }
 }
 
+common::time_point executor_manager::all_may_run_until(const executor_record& it) const {
+    auto earliest = common::time_point::max();
+    for (const auto& [key, run] : it.runs) {
+        earliest = std::min(earliest, run.ends_by ? *run.ends_by : m_listener->may_run_until(key));
+    }
+    return earliest;
+}
+
 std::int64_t executor_manager::next_lease_end(const executor_record& it) const {
-    return it.clock.estimate(m_clock.now()) + m_limits.lease.count();
+    const auto now = m_clock.now();
+    const auto full = it.clock.estimate(now) + m_limits.lease.count();
+    const auto limit = all_may_run_until(it);
+    if (limit >= now + m_limits.longest_lease) {
+        return full;
+    }
+    const auto left = std::chrono::duration_cast<milliseconds>(std::max(limit, now) - now);
+    return std::min(full, it.clock.end_of_lease(now, left));
 }
 
 void executor_manager::request_report(executor_record& it, milliseconds wait) {
@@ -112,11 +127,11 @@
     request.acknowledged = it.acknowledged;
     request.wait = wait;
     const bool renews = it.state == claim_state::held && !was_suspended() &&
-                        !it.is_unresponsive() && it.clock.is_known() && it.foreign_runs.empty() &&
-                        !it.runs.empty();
-    if (renews) {
-        request.until_ms = next_lease_end(it);
-        it.lease_until = std::max(it.lease_until, *request.until_ms);
+                        !m_stalls.is_catching_up() && !it.is_unresponsive() &&
+                        it.clock.is_known() && it.foreign_runs.empty() && !it.runs.empty();
+    if (const auto until = renews ? next_lease_end(it) : 0; until > it.lease_until) {
+        request.until_ms = until;
+        it.lease_until = until;
     }
     it.pending_reports.push_back({request.number, m_clock.now(), wait});
     m_orders.ask_report(it.info, request);
@@ -141,8 +156,8 @@
                              work::resources occupied, milliseconds time_limit,
                              const std::string& payload) {
     auto* it = find(executor);
-    if (it == nullptr || was_suspended() || !it->accepts_work(m_clock.now()) ||
-        !it->free().covers(occupied)) {
+    if (it == nullptr || was_suspended() || m_stalls.is_catching_up() ||
+        !it->accepts_work(m_clock.now()) || !it->free().covers(occupied)) {
         return false;
     }
     run_record record;
@@ -175,7 +190,8 @@
     m_orders.start(it.info, order);
 }
 
-void executor_manager::stop(const std::string& executor, const work::run_key& run) {
+void executor_manager::stop(const std::string& executor, const work::run_key& run,
+                            common::time_point ends_by) {
     auto* it = find(executor);
     if (it == nullptr) {
         return;
@@ -184,6 +200,7 @@
     if (found == it->runs.end()) {
         return;
     }
+    found->second.ends_by = ends_by;
     if (found->second.state != run_state::stopping) {
         send_stop(*it, run, found->second);
     }
@@ -285,7 +302,7 @@
         return;
     case order_status::no_answer:
         if (record.state == run_state::starting && is_only_copy && !it->is_unresponsive() &&
-            it->state == claim_state::held) {
+            !was_suspended() && !m_stalls.is_catching_up() && it->state == claim_state::held) {
             resend_start(*it, run, record);
         } else if (record.state == run_state::starting) {
             send_stop(*it, run, record);
@@ -481,7 +498,7 @@
     }
     const auto now = m_clock.now();
     const auto left = it.lease_until - it.clock.estimate(now);
-    if (left >= m_limits.renew_below.count()) {
+    if (left >= m_limits.renew_below.count() || next_lease_end(it) <= it.lease_until) {
         return;
     }
     const bool is_request_pending =
@@ -526,17 +543,20 @@
 }
 
 bool executor_manager::was_suspended() const {
-    return m_clock.suspended() - m_suspended > m_limits.tolerated_suspension ||
-           m_clock.now() - m_last_tick > m_limits.tolerated_stall;
+    return m_stalls.suspended_since_last_tick() > m_limits.tolerated_suspension ||
+           m_stalls.since_last_tick() > m_limits.tolerated_stall;
 }
 
 void executor_manager::on_wake_up() {
-    m_suspended = m_clock.suspended();
-    m_last_tick = m_clock.now();
     for (auto& [id, record] : m_executors) {
         record->pending_reports.clear(); // their answers may describe a state before the suspension
         record->missed_reports = std::max(record->missed_reports, 1);
         record->next_report_request = m_clock.now();
+        for (auto& [key, run] : record->runs) {
+            if (run.ends_by) {
+                run.ends_by = std::min(*run.ends_by, m_clock.now());
+            }
+        }
     }
     m_listener->on_suspended();
 }
@@ -545,7 +565,7 @@
     if (was_suspended()) {
         on_wake_up();
     }
-    m_last_tick = m_clock.now();
+    m_stalls.tick();
     std::vector<std::string> released;
     for (auto& [id, record] : m_executors) {
         check_executor(*record);
--- a/source/core/cell/executor_manager.h
+++ b/source/core/cell/executor_manager.h
@@ -6,7 +6,10 @@
 //  - an unanswered start is resent unchanged, stopped, or waited out until its lease has ended by a
 //    lower bound of the executor's clock;
 //  - after a suspension of this VM, nothing is started on an executor until it has answered again;
-//  - a lease is renewed only while the executor answers, and never for runs of other holders.
+//  - a lease is renewed only while the executor answers, and never for runs of other holders;
+//  - a lease covers all runs on its executor, and none is granted for longer than every one of them
+//    may go on: a run whose job has ended, or is not known to have a caller any more, ends even if
+//    no stop order reaches its executor.
 // Not thread-safe.
 #pragma once
 
@@ -17,6 +20,7 @@
 #include "core/cell/executor_record.h"
 #include "core/cell/orders.h"
 #include "core/common/error.h"
+#include "core/common/stall_detector.h"
 
 namespace savorytrail::cell {
 
@@ -39,6 +43,8 @@
     virtual void on_run_duration(const work::run_key& run, common::milliseconds took) = 0;
     // Executors may have free resources again.
     virtual void on_resources_freed() = 0;
+    // Until when a run that was not told to stop may go on, as far as is known now.
+    virtual common::time_point may_run_until(const work::run_key& run) const = 0;
 
 protected:
     run_listener() = default;
@@ -81,7 +87,9 @@
 
     bool start(const std::string& executor, const work::run_key& run, work::resources occupied,
                common::milliseconds time_limit, const std::string& payload);
-    void stop(const std::string& executor, const work::run_key& run);
+    // Stops the run; whether or not the order is carried out, it ends by `ends_by`, or by the end
+    // of the lease that it has.
+    void stop(const std::string& executor, const work::run_key& run, common::time_point ends_by);
     void note_failure(const std::string& executor, bool is_first);
 
     void on_start_reply(const std::string& executor, const work::run_key& run,
@@ -125,7 +133,9 @@
     void check_runs(executor_record& it);
     bool was_suspended() const;
     void on_wake_up();
+    // The end of the lease that may be granted now, on the executor's clock.
     std::int64_t next_lease_end(const executor_record& it) const;
+    common::time_point all_may_run_until(const executor_record& it) const;
 
     const limits m_limits;
     const common::clock& m_clock;
@@ -136,8 +146,7 @@
     record_map m_executors;
     std::uint64_t m_claims_version = 1;
     std::uint64_t m_next_report = 1;
-    common::milliseconds m_suspended; // total suspended time at the last check
-    common::time_point m_last_tick;
+    common::stall_detector m_stalls;
 };
 
 } // namespace savorytrail::cell
--- a/source/core/cell/executor_record.h
+++ b/source/core/cell/executor_record.h
@@ -2,6 +2,7 @@
 // resources they occupy. Modified by executor_manager only.
 #pragma once
 
+#include <algorithm>
 #include <map>
 #include <set>
 #include <vector>
@@ -29,6 +30,8 @@
     std::optional<common::time_point> stop_sent_at;       // latest
     std::optional<common::time_point> stop_first_sent_at; // for the log
     bool is_stop_logged_as_unanswered = false;
+    // Set when its job has ended: no lease is granted on the executor beyond this time.
+    std::optional<common::time_point> ends_by;
     std::optional<common::time_point> stop_acknowledged_at; // later start orders are rejected
 };
 
@@ -46,11 +49,13 @@
 
 struct executor_record {
     executor_record(work::executor_info its_info, const limits& by, std::int64_t its_fence)
-        : info(std::move(its_info)), fence(its_fence), health(by) {}
+        : info(std::move(its_info)), fence(its_fence), health(by),
+          min_lease_of_start(by.stop_lead) {}
 
     work::executor_info info;
     std::int64_t fence = 0;
     executor_health health;
+    common::milliseconds min_lease_of_start; // nothing starts on a lease that must end sooner
     claim_state state = claim_state::claiming;
     bool is_retiring = false; // gets no new runs; released when its runs have ended
     bool is_adopted = false;  // claimed on the assumption that its holder has abandoned it
@@ -79,10 +84,17 @@
         }
         return false;
     }
+    // Whether a run there has to end by `time`, if necessary by the expiry of the lease.
+    bool has_run_ending_by(common::time_point time) const {
+        return std::any_of(runs.begin(), runs.end(), [time](const auto& it) {
+            return it.second.ends_by && *it.second.ends_by < time;
+        });
+    }
     bool accepts_work(common::time_point now) const {
         return state == claim_state::held && !is_retiring && !info.is_draining &&
                !is_unresponsive() && clock.is_known() && now >= resources_exhausted_until &&
-               health.admits(runs.size(), now) && !has_overdue_run(now);
+               health.admits(runs.size(), now) && !has_overdue_run(now) &&
+               !has_run_ending_by(now + min_lease_of_start);
     }
 };
 
--- a/source/core/cell/job_record.cpp
+++ b/source/core/cell/job_record.cpp
@@ -56,6 +56,14 @@
     m_done += it.state == task_state::done ? 1 : 0;
 }
 
+common::time_point job_record::held_until() const {
+    auto latest = common::time_point::min();
+    for (const auto& it : waiters) {
+        latest = std::max(latest, it.held_until);
+    }
+    return latest;
+}
+
 double job_record::waiting_cpu_demand() const {
     double sum = 0;
     for (const auto& it : m_tasks) {
--- a/source/core/cell/job_record.h
+++ b/source/core/cell/job_record.h
@@ -27,9 +27,16 @@
     std::string avoid;                // executor of the last failed, lost or refused run
 };
 
+// Somebody who waits for a job's outcome: a caller of this entry, or another entry that forwarded
+// the job and holds its caller's connection.
 struct waiter {
     std::uint64_t ticket = 0;
     done_callback done;
+    // Until when the job may go on for this waiter, as far as is known: the end of its lease, or
+    // forever for a caller of this entry.
+    common::time_point held_until = common::time_point::max();
+    // When to remove the waiter unless its lease has been renewed.
+    common::time_point remove_at = common::time_point::max();
 };
 
 class job_record {
@@ -67,6 +74,8 @@
     common::time_point give_up_at() const { return m_give_up_at; }
     // Estimated CPU time of the waiting and blocked tasks.
     double waiting_cpu_demand() const;
+    // No run of the job goes on for longer. A lease of any waiter is enough.
+    common::time_point held_until() const;
 
     std::vector<waiter> waiters; // never empty while the job is open
 
--- a/source/core/cell/limits.h
+++ b/source/core/cell/limits.h
@@ -8,14 +8,23 @@
 namespace savorytrail::cell {
 
 struct limits {
-    // Lease requested by a start or a renewal. Shorter than the longest lease that executors grant
-    // and than the time after which callers resend a job.
-    common::milliseconds lease{800};
+    // Lease requested by a start or a renewal. Shorter than the longest lease that executors grant,
+    // and than what is left of a job's lease just before it is renewed: a task starts only if its
+    // job may run for as long as any lease on its executor.
+    common::milliseconds lease{680};
+    // The runs of a job end within this time after its caller is last known to have waited. The
+    // rest of the time after which callers resend a job is for noticing that they have left.
+    common::milliseconds job_lease{975};
+    // A job with less than this left of its lease is closed: its runs are then stopped before the
+    // leases of other runs on their executors must be left to expire too.
+    common::milliseconds stop_lead{240};
+    // Time for the first renewal of the lease of a job that arrives without one.
+    common::milliseconds first_renewal_timeout{500};
     common::milliseconds longest_lease{1000}; // executors grant no longer one
     // A lease is renewed when less than this is left of it.
-    common::milliseconds renew_below{450};
+    common::milliseconds renew_below{400};
     // Long-poll time of a report, which an executor delays until a run ends, while it has runs...
-    common::milliseconds report_wait{300};
+    common::milliseconds report_wait{270};
     // ...and while it has none.
     common::milliseconds idle_report_wait{1500};
     // Time on top of the long-poll time after which a report counts as missing.
@@ -41,6 +50,9 @@
     common::milliseconds tolerated_suspension{100};
     // The same for a process that did not run while its clock went on.
     common::milliseconds tolerated_stall{600};
+    // After a longer stall, nothing is renewed or started before what arrived meanwhile, such as
+    // the disconnect of a caller, has been processed.
+    common::milliseconds catch_up_after{160};
     // Late answers are of use to the caller up to this multiple of the objective.
     double late_factor = 3;
 
@@ -48,16 +60,20 @@
 };
 
 // Returns limits for executors that grant leases of at most `longest_lease` and callers that resend
-// a job after `resend`: by then, the runs of an entry that has failed must have ended.
+// a job after `resend`: by then, the runs of an entry that has failed, and of a job whose caller
+// has left, must have ended.
 inline limits limits_for(common::milliseconds longest_lease, common::milliseconds resend) {
     limits it;
     it.longest_lease = longest_lease;
-    const auto lease = std::min(longest_lease * 4 / 5, resend * 5 / 8);
+    const auto lease = std::min(longest_lease * 4 / 5, resend * 17 / 32);
     if (lease < it.lease) {
         it.renew_below = it.renew_below * lease.count() / it.lease.count();
         it.report_wait = it.report_wait * lease.count() / it.lease.count();
         it.lease = lease;
     }
+    it.job_lease = std::min(it.job_lease, resend * 3 / 4);
+    it.stop_lead = std::min(it.stop_lead, it.job_lease / 4);
+    it.first_renewal_timeout = std::min(it.first_renewal_timeout, it.job_lease / 2);
     return it;
 }
 
--- a/source/core/gateway/forwarding_codec.cpp
+++ b/source/core/gateway/forwarding_codec.cpp
@@ -52,6 +52,12 @@
     message.set_patience_ms(it.job.patience.count());
     message.set_waited_ms(it.job.waited.count());
     message.set_from(it.from);
+    message.set_number(it.number);
+    message.set_from_incarnation(it.from_incarnation);
+    if (it.stamp) {
+        message.mutable_stamp()->set_incarnation(it.stamp->incarnation);
+        message.mutable_stamp()->set_ms(it.stamp->at.count());
+    }
     return message.SerializeAsString();
 }
 
@@ -71,6 +77,11 @@
     it.job.patience = milliseconds(message.patience_ms());
     it.job.waited = milliseconds(message.waited_ms());
     it.from = message.from();
+    it.number = message.number();
+    it.from_incarnation = message.from_incarnation();
+    if (message.has_stamp()) {
+        it.stamp = {message.stamp().incarnation(), milliseconds(message.stamp().ms())};
+    }
     return it;
 }
 
--- a/source/core/gateway/forwarding_codec.h
+++ b/source/core/gateway/forwarding_codec.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <string>
 
+#include "core/gateway/lease_messages.h"
 #include "core/work/job.h"
 
 namespace savorytrail::gateway {
@@ -11,6 +12,12 @@
 struct passed_job {
     work::job job;
     std::string from; // name of the forwarding entry
+    // Of this forward, unique in the incarnation of that entry; 0 from entries of the previous
+    // version, which grant no leases.
+    std::uint64_t number = 0;
+    std::uint64_t from_incarnation = 0;
+    // The dispatcher's latest that the entry has received: the caller was still waiting then.
+    std::optional<lease_stamp> stamp;
 
     bool operator==(const passed_job&) const = default;
 };
--- a/source/core/gateway/forwarding_http.cpp
+++ b/source/core/gateway/forwarding_http.cpp
@@ -22,19 +22,27 @@
     return request;
 }
 
+reactor::http_response outcome_response(const work::outcome& it) {
+    return {200, {}, encode(it), protobuf_type};
+}
+
+reactor::http_response given_up_response(std::string_view reason) {
+    return outcome_response({work::job_end::given_up, std::string(reason), {}});
+}
+
 } // namespace
 
 forwarding_client::canceller http_forwarding_client::forward(const common::endpoint& to,
-                                                             const work::job& job, callback done) {
+                                                             const passed_job& it, callback done) {
     return m_client.send(
-        to, post(job_path, encode(passed_job{job, m_self})), job.patience + outcome_slack,
-        [done = std::move(done)](const common::result<reactor::http_response>& it) {
-            if (!it) {
-                done(it.error());
+        to, post(job_path, encode(it)), it.job.patience + outcome_slack,
+        [done = std::move(done)](const common::result<reactor::http_response>& response) {
+            if (!response) {
+                done(response.error());
                 return;
             }
-            const auto outcome = decode_outcome(it.value().body);
-            if (it.value().status != 200 || !outcome) {
+            const auto outcome = decode_outcome(response.value().body);
+            if (response.value().status != 200 || !outcome) {
                 done(make_error_code(common::error::malformed));
                 return;
             }
@@ -43,7 +51,7 @@
 }
 
 void http_forwarding_client::abandon(const common::endpoint& to, const std::string& job) {
-    // Best effort: the receiver also sees the connection close, or misses this entry's heartbeats.
+    // Best effort: the receiver also sees the connection close, or is told when it asks for leases.
     m_client.send(to, post(abandon_path, encode(abandoned_job{job, m_self})), abandon_timeout,
                   [](const auto&) {});
 }
@@ -62,7 +70,9 @@
     }
     if (const auto it = decode_abandoned(request.body)) {
         drop_if(
-            [&](const received_job& open) { return open.job == it->id && open.from == it->from; },
+            [&](const received_job& open) {
+                return open.job == it->id && open.forward.entry == it->from;
+            },
             "abandoned by that entry");
     }
     answer->send({200, {}, "", protobuf_type});
@@ -77,46 +87,112 @@
         return;
     }
     const auto number = m_next_number++;
-    const received_job received{passed->from, passed->job.id, 0};
-    m_observer.job_event(received.job, "job_received",
-                         received.from + ": " + describe_heartbeat(received.from));
-    m_view.note_in_use(passed->from, m_clock.now());
-    m_open[number] = received;
-    const auto ticket = m_own.submit(passed->job, [this, number, answer](const work::outcome& it) {
-        m_open.erase(number);
-        answer->send({200, {}, encode(it), protobuf_type});
+    const forward_id forward{passed->from, passed->from_incarnation, passed->number};
+    m_observer.job_event(passed->job.id, "job_received",
+                         forward.entry + ": " + describe_holder(*passed));
+    m_view.note_in_use(forward.entry, m_clock.now());
+    m_open[number] = {forward, passed->job.id, 0, answer};
+    const auto ticket = submit(*passed, [this, number, answer](const work::outcome& it) {
+        close(number);
+        answer->send(outcome_response(it));
     });
-    if (const auto it = m_open.find(number); it != m_open.end()) {
-        it->second.ticket = ticket;
-        answer->on_disconnect([this, number] { drop(number, "connection ended"); });
+    const auto it = m_open.find(number);
+    if (it == m_open.end()) {
+        return; // answered already
     }
+    it->second.ticket = ticket;
+    answer->on_disconnect([this, number] { drop(number, "connection ended"); });
+    if (forward.number != 0) {
+        m_by_forward[forward] = number;
+        m_leases.add(forward, m_leases.held_until(passed->stamp));
+        request_leases();
+    }
+}
+
+std::uint64_t forwarding_service::submit(const passed_job& it, cell::done_callback done) {
+    return it.number == 0
+               ? m_own.submit(it.job, std::move(done))
+               : m_own.submit_leased(it.job, m_leases.held_until(it.stamp), std::move(done));
+}
+
+std::optional<std::uint64_t> forwarding_service::find(const forward_id& it) const {
+    const auto found = m_by_forward.find(it);
+    return found == m_by_forward.end() ? std::nullopt : std::optional(found->second);
+}
+
+void forwarding_service::close(std::uint64_t number) {
+    const auto it = m_open.find(number);
+    if (it == m_open.end()) {
+        return;
+    }
+    m_leases.remove(it->second.forward);
+    m_by_forward.erase(it->second.forward);
+    m_open.erase(it);
 }
 
 std::string forwarding_service::describe_heartbeat(const std::string& entry) const {
     return fleet::describe_last_heartbeat(m_view, entry, m_clock.now());
 }
 
+std::string forwarding_service::describe_holder(const passed_job& it) const {
+    if (it.number == 0) {
+        return describe_heartbeat(it.from);
+    }
+    const auto left = m_leases.held_until(it.stamp) - m_clock.now();
+    const auto ms = std::chrono::duration_cast<common::milliseconds>(left).count();
+    return describe_heartbeat(it.from) + ", lease " + std::to_string(ms) + " ms";
+}
+
 void forwarding_service::drop(std::uint64_t number, std::string_view reason) {
     const auto it = m_open.find(number);
     if (it == m_open.end()) {
         return;
     }
     const received_job dropped = it->second;
-    m_open.erase(it);
+    close(number);
     m_observer.job_event(dropped.job, "job_dropped",
-                         dropped.from + ": " + std::string(reason) + ", " +
-                             describe_heartbeat(dropped.from));
+                         dropped.forward.entry + ": " + std::string(reason) + ", " +
+                             describe_heartbeat(dropped.forward.entry));
     m_own.abandon(dropped.ticket);
+    // The connection may be open still, unless its end is the reason.
+    dropped.answer->send(given_up_response(reason));
+}
+
+void forwarding_service::request_leases() {
+    for (const auto& it : m_leases.due()) {
+        m_send(it.entry, encode(it.request));
+    }
+}
+
+void forwarding_service::receive(const lease_answer& it) {
+    const auto renewals = m_leases.receive(it);
+    for (const auto& forward : renewals.held) {
+        if (const auto number = find(forward)) {
+            m_leases.renew(forward, renewals.held_until);
+            const auto& open = m_open.at(*number);
+            m_own.renew(open.job, open.ticket, renewals.held_until);
+        }
+    }
+    for (const auto& forward : renewals.released) {
+        if (const auto number = find(forward)) {
+            drop(*number, "released by that entry");
+        }
+    }
 }
 
 void forwarding_service::tick() {
     for (const auto& [number, it] : m_open) {
-        m_view.note_in_use(it.from, m_clock.now());
+        m_view.note_in_use(it.forward.entry, m_clock.now());
     }
+    request_leases();
 }
 
 void forwarding_service::on_entry_lost(const std::string& name) {
-    drop_if([&](const received_job& open) { return open.from == name; }, "entry lost");
+    drop_if(
+        [&](const received_job& open) {
+            return open.forward.entry == name && open.forward.number == 0;
+        },
+        "entry lost");
 }
 
 void forwarding_service::drop_if(const std::function<bool(const received_job&)>& matches,
--- a/source/core/gateway/gateway.cpp
+++ b/source/core/gateway/gateway.cpp
@@ -139,7 +139,14 @@
     m_view.note_in_use(name, m_clock.now());
     m_sent_since_heartbeat[name] += total_cpu_millis(open.job);
     m_observer.job_event(open.job.id, "job_passed", name);
-    open.cancel = m_client.forward(to.address, open.job, [this, ticket](auto result) {
+    open.forward_number = m_next_forward++;
+    m_forwards[open.forward_number] = ticket;
+    passed_job message{open.job, m_view.self().name, open.forward_number, m_view.self().incarnation,
+                       std::nullopt};
+    if (const auto stamp = m_last_stamps.find(name); stamp != m_last_stamps.end()) {
+        message.stamp = stamp->second;
+    }
+    open.cancel = m_client.forward(to.address, message, [this, ticket](auto result) {
         if (result) {
             on_outcome(ticket, result.value());
         } else {
@@ -148,11 +155,34 @@
     });
 }
 
+void gateway::end_forward(open_job& it) {
+    m_forwards.erase(it.forward_number);
+    it.forward_number = 0;
+}
+
+bool gateway::is_held_for(const std::string& dispatcher, std::uint64_t forward_number) const {
+    const auto ticket = m_forwards.find(forward_number);
+    return ticket != m_forwards.end() && m_open.at(ticket->second).target == dispatcher;
+}
+
+lease_answer gateway::grant_leases(const lease_request& request) {
+    const auto& self = m_view.self();
+    m_last_stamps[request.dispatcher] = request.stamp;
+    lease_answer answer{self.name, request.incarnation, request.stamp, {}, {}};
+    for (const auto number : request.numbers) {
+        const bool is_held =
+            request.incarnation == self.incarnation && is_held_for(request.dispatcher, number);
+        (is_held ? answer.held : answer.released).push_back(number);
+    }
+    return answer;
+}
+
 void gateway::on_outcome(std::uint64_t ticket, const work::outcome& outcome) {
     const auto it = m_open.find(ticket);
     if (it == m_open.end()) {
         return;
     }
+    end_forward(it->second);
     const bool is_refused = outcome.end == work::job_end::not_run;
     if (is_refused && it->second.tried.size() < max_offers && !targets(it->second.tried).empty() &&
         m_clock.now() < it->second.give_up_at) {
@@ -172,6 +202,7 @@
     if (it == m_open.end()) {
         return;
     }
+    end_forward(it->second);
     const auto& target = it->second.target;
     m_observer.job_event(it->second.job.id, "pass_lost",
                          target + ": " + ec.message() + ", " +
@@ -214,6 +245,7 @@
     if (it == m_open.end()) {
         return;
     }
+    end_forward(it->second);
     auto open = std::move(it->second);
     m_open.erase(it);
     note_caller_left(open);
@@ -234,6 +266,7 @@
     if (it == m_open.end()) {
         return;
     }
+    end_forward(it->second);
     const auto done = std::move(it->second.done);
     m_open.erase(it);
     done(outcome);
--- a/source/core/gateway/gateway.h
+++ b/source/core/gateway/gateway.h
@@ -1,7 +1,7 @@
 // Sends each caller's job to a dispatcher, of this entry or another, and returns its outcome. When
 // the connection to the dispatcher is lost, the outcome is unknown: the caller is told that the job
-// is given up, and the dispatcher, if it is running, stops the job once this entry times out. Not
-// thread-safe.
+// is given up. The dispatcher, if it is running, then gets no further lease for the job, so that
+// its runs have ended when the caller resends it. Not thread-safe.
 #pragma once
 
 #include <map>
@@ -11,6 +11,7 @@
 #include "core/cell/dispatcher.h"
 #include "core/common/error.h"
 #include "core/fleet/view.h"
+#include "core/gateway/forwarding_codec.h"
 #include "core/gateway/target_choice.h"
 
 namespace savorytrail::gateway {
@@ -24,7 +25,7 @@
     virtual ~forwarding_client() = default;
     // Errors are those of common::error; `unreachable` means that nothing was sent. The callback is
     // not called after the canceller has been.
-    virtual canceller forward(const common::endpoint& to, const work::job& job, callback done) = 0;
+    virtual canceller forward(const common::endpoint& to, const passed_job& it, callback done) = 0;
     // Tells an entry that the outcome of a job that this entry forwarded to it is no longer needed.
     virtual void abandon(const common::endpoint& to, const std::string& job) = 0;
 
@@ -47,6 +48,11 @@
     // jobs that found no dispatcher.
     void tick();
 
+    // Which of the forwarded jobs the dispatcher may go on with: those whose callers still wait
+    // here for its outcome. Not to be called while disconnects of callers may be waiting to be
+    // processed, as after a stall.
+    lease_answer grant_leases(const lease_request& request);
+
     // The entry's load was learnt.
     void on_load_learnt(const std::string& of) { m_sent_since_heartbeat.erase(of); }
     void on_entry_lost(const std::string& name);
@@ -62,12 +68,15 @@
         std::string target; // name of an entry; this entry's own for the local dispatcher
         std::set<std::string> tried;
         std::uint64_t own_ticket = 0;
+        std::uint64_t forward_number = 0; // 0 while it is not forwarded
         forwarding_client::canceller cancel;
     };
 
     std::vector<target> targets(const std::set<std::string>& tried) const;
     void place(std::uint64_t ticket);
     void forward(std::uint64_t ticket, const fleet::peer& to);
+    bool is_held_for(const std::string& dispatcher, std::uint64_t forward_number) const;
+    void end_forward(open_job& it);
     void wait_or_refuse(std::uint64_t ticket);
     void refuse(std::uint64_t ticket, const std::string& reason);
     void on_outcome(std::uint64_t ticket, const work::outcome& outcome);
@@ -84,7 +93,10 @@
     std::map<std::uint64_t, open_job> m_open;
     std::set<std::uint64_t> m_waiting; // tickets of jobs that found no dispatcher
     std::map<std::string, std::int64_t> m_sent_since_heartbeat; // thousandths of a core, by entry
+    std::map<std::uint64_t, std::uint64_t> m_forwards;          // tickets, by number of the forward
+    std::map<std::string, lease_stamp> m_last_stamps;           // by dispatcher
     std::uint64_t m_next_ticket = 1;
+    std::uint64_t m_next_forward = 1;
 };
 
 } // namespace savorytrail::gateway
--- a/source/unit_tests/cell/policy_test.cpp
+++ b/source/unit_tests/cell/policy_test.cpp
@@ -79,11 +79,14 @@
         limits_for(milliseconds(GetParam().longest_ms), milliseconds(GetParam().resend_ms));
     EXPECT_EQ(it.lease, milliseconds(GetParam().lease_ms));
     EXPECT_LT(it.report_wait + it.renew_below, it.lease);
+    EXPECT_LE(it.job_lease, milliseconds(GetParam().resend_ms * 3 / 4));
+    // Just before it is renewed, a job's lease still covers that of an executor.
+    EXPECT_LT(executor_clock::longest(it.lease), it.job_lease * 4 / 5);
 }
 
 INSTANTIATE_TEST_SUITE_P(policy, leases,
-                         testing::Values(lease_case{1000, 1300, 800}, lease_case{500, 1300, 400},
-                                         lease_case{1000, 640, 400}, lease_case{5000, 9000, 800}));
+                         testing::Values(lease_case{1000, 1300, 680}, lease_case{500, 1300, 400},
+                                         lease_case{1000, 640, 340}, lease_case{5000, 9000, 680}));
 
 TEST(ranking, orders_started_before_urgent_before_late) {
     const common::time_point now{std::chrono::hours(1)};
--- a/source/unit_tests/cell/simulated_cell.cpp
+++ b/source/unit_tests/cell/simulated_cell.cpp
@@ -164,6 +164,13 @@
     return m_dispatcher.submit(job, std::move(done));
 }
 
+std::uint64_t simulated_cell::holder::submit_leased(const work::job& job,
+                                                    common::time_point held_until,
+                                                    done_callback done) {
+    m_cell.m_jobs[job.id] = job;
+    return m_dispatcher.submit_leased(job, held_until, std::move(done));
+}
+
 void simulated_cell::holder::send(
     const work::executor_info& to, milliseconds timeout,
     const std::function<std::function<void()>(simulated_executor&)>& execute,
@@ -235,6 +242,9 @@
 }
 
 void simulated_cell::holder::stop(const work::executor_info& at, const stop_order& order) {
+    if (static_cast<int>(m_cell.m_random() % 1000) < m_cell.faults.lost_stops) {
+        return;
+    }
     send(
         at, limits().order_timeout,
         [this, id = at.id, order](simulated_executor& it) -> std::function<void()> {
--- a/source/unit_tests/cell/simulated_cell.h
+++ b/source/unit_tests/cell/simulated_cell.h
@@ -19,6 +19,7 @@
     int lost_requests = 0;
     int lost_answers = 0;
     int late_requests = 0; // executed 2 to 12 s later and never answered
+    int lost_stops = 0;    // stop orders only, while executors answer all else
 
     bool operator==(const network_faults&) const = default;
 };
@@ -75,6 +76,8 @@
     holder(simulated_cell& cell, int number);
 
     std::uint64_t submit(const work::job& job, done_callback done);
+    std::uint64_t submit_leased(const work::job& job, common::time_point held_until,
+                                done_callback done);
     void abandon(std::uint64_t ticket) { m_dispatcher.abandon(ticket); }
     void assign(const std::vector<work::executor_info>& list) { m_executor_manager.assign(list); }
     void freeze(common::milliseconds time);
--- a/source/unit_tests/cells/simulated_entry.cpp
+++ b/source/unit_tests/cells/simulated_entry.cpp
@@ -13,7 +13,6 @@
 // As in platform/entry_node.cpp and core/gateway/forwarding_http.cpp.
 constexpr milliseconds heartbeat_check_period{50};
 constexpr milliseconds tick_period{40};
-constexpr milliseconds stall_threshold{160};
 constexpr milliseconds outcome_slack{200};
 constexpr milliseconds abandon_timeout{300};
 
@@ -42,15 +41,17 @@
 } // namespace
 
 simulated_entry::simulated_entry(simulated_fleet& fleet, int slot, std::uint64_t incarnation)
-    : m_fleet(fleet), m_slot(slot), m_last_tick(now()), m_random(fleet.random()()),
-      m_orders(fleet, *this),
+    : m_fleet(fleet), m_slot(slot), m_stalls(*this, own_limits().catch_up_after),
+      m_random(fleet.random()()), m_orders(fleet, *this),
       m_manager(
           own_limits(), *this, m_orders, [this] { return next_fence(); }, *this),
       m_dispatcher(own_limits(), *this, m_manager, *this),
       m_view(own_identity(fleet, slot, incarnation), simulated_network::address_of(slot).port, {},
              now()),
       m_gateway(*this, m_view, m_dispatcher, *this, *this, m_random),
-      m_forwarding_service(*this, m_view, m_dispatcher, *this) {
+      m_forwarding_service(
+          *this, m_view, m_dispatcher, *this, own_limits().job_lease,
+          [this](const auto& entry, const auto& bytes) { send_to(entry, bytes); }) {
     m_orders.attach(m_manager);
     m_fleet.network().attach(*this);
     std::vector<work::executor_info> own_domain;
@@ -136,12 +137,12 @@
 }
 
 void simulated_entry::check_for_stall() {
-    const auto elapsed = std::chrono::duration_cast<milliseconds>(now() - m_last_tick);
-    if (elapsed > stall_threshold) {
+    const auto elapsed = m_stalls.since_last_tick();
+    if (elapsed > own_limits().catch_up_after) {
         m_view.note_stall(elapsed, now());
         m_fleet.note(name() + " loop_stalled " + std::to_string(elapsed.count()));
     }
-    m_last_tick = now();
+    m_stalls.tick();
 }
 
 void simulated_entry::tick() {
@@ -202,7 +203,23 @@
     }
 }
 
+void simulated_entry::send_to(const std::string& entry, const std::string& bytes) {
+    if (const auto* it = m_view.find(entry)) {
+        m_fleet.network().send_datagram(*this, it->address, bytes);
+    }
+}
+
 void simulated_entry::on_datagram(const std::string& bytes, const common::endpoint& from) {
+    if (const auto it = gateway::decode_lease_request(bytes)) {
+        if (!m_stalls.is_catching_up()) {
+            send_to(it->dispatcher, encode(m_gateway.grant_leases(*it)));
+        }
+        return;
+    }
+    if (const auto it = gateway::decode_lease_answer(bytes)) {
+        m_forwarding_service.receive(*it);
+        return;
+    }
     const auto it = fleet::decode_heartbeat(bytes);
     if (!it) {
         m_fleet.violations.push_back(name() + " received a datagram of no known kind");
@@ -228,17 +245,16 @@
 
 // The same requests, time-outs and errors as of gateway::http_forwarding_client.
 gateway::forwarding_client::canceller
-simulated_entry::forward(const common::endpoint& to, const work::job& job, callback done) {
-    const auto body = gateway::encode(gateway::passed_job{job, name()});
+simulated_entry::forward(const common::endpoint& to, const gateway::passed_job& it, callback done) {
     return m_fleet.network().send_request(
-        *this, to, post("/jobs", body), job.patience + outcome_slack,
-        [done = std::move(done)](const common::result<reactor::http_response>& it) {
-            if (!it) {
-                done(it.error());
+        *this, to, post("/jobs", encode(it)), it.job.patience + outcome_slack,
+        [done = std::move(done)](const common::result<reactor::http_response>& response) {
+            if (!response) {
+                done(response.error());
                 return;
             }
-            const auto outcome = gateway::decode_outcome(it.value().body);
-            if (it.value().status != 200 || !outcome) {
+            const auto outcome = gateway::decode_outcome(response.value().body);
+            if (response.value().status != 200 || !outcome) {
                 done(make_error_code(common::error::malformed));
                 return;
             }
--- a/source/unit_tests/cells/simulated_entry.h
+++ b/source/unit_tests/cells/simulated_entry.h
@@ -5,6 +5,7 @@
 
 #include "core/cell/dispatcher.h"
 #include "core/common/random.h"
+#include "core/common/stall_detector.h"
 #include "core/fleet/assignment.h"
 #include "core/fleet/heartbeat_sender.h"
 #include "core/gateway/forwarding_http.h"
@@ -51,7 +52,8 @@
     void on_datagram(const std::string& bytes, const common::endpoint& from) override;
     void on_request(const reactor::http_request& request,
                     const std::shared_ptr<reactor::responder>& answer) override;
-    canceller forward(const common::endpoint& to, const work::job& job, callback done) override;
+    canceller forward(const common::endpoint& to, const gateway::passed_job& it,
+                      callback done) override;
     void abandon(const common::endpoint& to, const std::string& job) override;
     void executor_changed(const std::string& executor, std::string_view event,
                           std::string_view reason) override;
@@ -66,6 +68,7 @@
     void check_for_stall();
     void assign();
     void send_heartbeats();
+    void send_to(const std::string& entry, const std::string& bytes);
     fleet::entry_status own_status() const;
     std::vector<std::uint64_t> held_keys() const;
     std::int64_t next_fence();
@@ -78,7 +81,7 @@
     common::time_point m_frozen_until;
     common::milliseconds m_total_suspended{0};
     std::int64_t m_last_fence = 0;
-    common::time_point m_last_tick;
+    common::stall_detector m_stalls;
     common::seeded_random m_random;
     simulated_orders m_orders;
     cell::executor_manager m_manager;
--- a/source/unit_tests/cells/two_runs_test.cpp
+++ b/source/unit_tests/cells/two_runs_test.cpp
@@ -51,11 +51,11 @@
                                           milliseconds(200));
         ASSERT_TRUE(runs);
         fleet.run_for(milliseconds(10));
-        note_target();
+        ASSERT_TRUE(note_target());
     }
 
-    // Notes where the first attempt was forwarded to.
-    void note_target() {
+    // Notes where the first attempt was forwarded to, if it was.
+    bool note_target() {
         for (int domain = 1; domain < fleet.domains(); domain++) {
             const int dispatcher = fleet.dispatcher_of(domain);
             if (fleet.passed_to["job"] == simulated_entry::name_of(dispatcher)) {
@@ -63,7 +63,7 @@
                 first_dispatcher = dispatcher;
             }
         }
-        ASSERT_NE(first_dispatcher, -1);
+        return first_dispatcher != -1;
     }
 
     std::string violations_text() const { return text_of(fleet); }
@@ -147,7 +147,9 @@
         });
     };
     ASSERT_TRUE(it.fleet.run_until(knows_a_dispatcher, milliseconds(3000)));
-    it.submit_and_start();
+    it.submit();
+    it.fleet.run_for(milliseconds(210)); // starts only where the entry need not be heard for that
+    ASSERT_TRUE(it.note_target());
     it.fleet.end_entry(first_entry, false);
     it.fleet.run_for(until_the_end);
     EXPECT_TRUE(it.fleet.violations.empty()) << it.violations_text();
@@ -177,7 +179,7 @@
     }
     it.submit();
     it.fleet.run_for(milliseconds(50));
-    it.note_target();
+    ASSERT_TRUE(it.note_target());
     it.fleet.network().reset(first_entry, it.first_dispatcher, true, false);
     it.fleet.run_for(until_the_end);
     EXPECT_TRUE(it.fleet.violations.empty()) << it.violations_text();
@@ -194,7 +196,7 @@
     call->cuts_requests = true;
     call->cuts_answers = true;
     it.fleet.run_for(milliseconds(2200));
-    it.note_target();
+    it.note_target(); // it need not be forwarded so late
     it.fleet.run_for(until_the_end);
     EXPECT_TRUE(it.fleet.violations.empty()) << it.violations_text();
 }
--- a/source/unit_tests/gateway/gateway_test.cpp
+++ b/source/unit_tests/gateway/gateway_test.cpp
@@ -21,10 +21,11 @@
         std::string job;
         callback done;
         bool is_cancelled = false;
+        passed_job message = {};
     };
 
-    canceller forward(const common::endpoint& to, const work::job& job, callback done) override {
-        sent.push_back({to, job.id, std::move(done)});
+    canceller forward(const common::endpoint& to, const passed_job& it, callback done) override {
+        sent.push_back({to, it.job.id, std::move(done), false, it});
         return [this, i = sent.size() - 1] { sent[i].is_cancelled = true; };
     }
 
@@ -36,12 +37,16 @@
     std::vector<std::string> abandoned;
 };
 
-class null_order_sink final : public cell::order_sink {
+class fake_order_sink final : public cell::order_sink {
 public:
-    void start(const work::executor_info&, const cell::start_order&) override {}
+    void start(const work::executor_info&, const cell::start_order& order) override {
+        started.push_back(order);
+    }
     void stop(const work::executor_info&, const cell::stop_order&) override {}
     void ask_report(const work::executor_info&, const cell::report_request&) override {}
     void forget(const work::executor_info&) override {}
+
+    std::vector<cell::start_order> started;
 };
 
 // Keeps the events of jobs as "EVENT DETAIL".
@@ -57,10 +62,11 @@
 
 class fake_responder final : public reactor::responder {
 public:
-    void send(reactor::http_response) override {}
+    void send(reactor::http_response it) override { sent.push_back(std::move(it)); }
     void on_disconnect(std::function<void()> callback) override { disconnect = callback; }
 
     std::function<void()> disconnect;
+    std::vector<reactor::http_response> sent;
 };
 
 class a_gateway : public testing::Test {
@@ -84,7 +90,7 @@
     common::manual_clock m_clock;
     std::uint64_t m_sequence = 1;
     event_recorder m_observer;
-    null_order_sink m_orders;
+    fake_order_sink m_orders;
     fake_forwarding_client m_client;
     cell::executor_manager m_executor_manager{
         {}, m_clock, m_orders, [] { return std::int64_t{1}; }, m_observer};
@@ -212,14 +218,22 @@
 
 class a_forwarding_service : public a_gateway {
 protected:
-    // Receives a job that the entry "near" forwards.
-    std::shared_ptr<fake_responder> receive_job() {
+    // Receives a job that the entry "near" forwards, with leases if the number is not 0.
+    std::shared_ptr<fake_responder> receive_job(std::uint64_t number = 0) {
         auto answer = std::make_shared<fake_responder>();
-        post("/jobs", encode(passed_job{cell::make_job("a", 1, milliseconds(200)), "near"}),
-             answer);
+        const passed_job job{cell::make_job("a", 1, milliseconds(200)), "near", number, 1,
+                             std::nullopt};
+        post("/jobs", encode(job), answer);
         return answer;
     }
 
+    // The number of jobs that the latest request for leases asks for.
+    lease_request last_request() {
+        return m_datagrams.empty()
+                   ? lease_request()
+                   : decode_lease_request(m_datagrams.back()).value_or(lease_request());
+    }
+
     void post(const std::string& path, const std::string& body,
               const std::shared_ptr<fake_responder>& answer = std::make_shared<fake_responder>()) {
         reactor::http_request request;
@@ -235,6 +249,8 @@
         info.id = "e0";
         info.upstream = "u";
         info.capacity = {64000, 131072, 0};
+        m_executor_manager.tick(); // the first tick after a while is a late one
+        m_executor_manager.tick();
         m_executor_manager.assign({info});
         work::run_report report;
         report.clock_ms = 1;
@@ -242,7 +258,11 @@
         m_executor_manager.on_report("e0", 1, work::order_status::accepted, report);
     }
 
-    forwarding_service m_service{m_clock, m_view, m_dispatcher, m_observer};
+    std::vector<std::string> m_datagrams;
+    forwarding_service m_service{
+        m_clock,           m_view,
+        m_dispatcher,      m_observer,
+        milliseconds(975), [this](const auto&, const auto& it) { m_datagrams.push_back(it); }};
 };
 
 // Guards against issue 26's gap: a dispatcher's log named neither a job's entry nor its state.
@@ -256,6 +276,41 @@
     EXPECT_EQ(m_observer.events.at(0), "job_received near: last heartbeat 30 ms ago");
 }
 
+// A job that was held up on its way, or whose entry was gone, was run all the same.
+TEST_F(a_forwarding_service, asks_for_the_lease_of_a_job_that_comes_without_one) {
+    hold_an_executor();
+    receive("near", "d", 0);
+    receive_job(5);
+    EXPECT_EQ(last_request().numbers, std::vector<std::uint64_t>{5});
+    EXPECT_EQ(last_request().incarnation, 1U);
+    EXPECT_TRUE(m_orders.started.empty());
+    const lease_answer granted{"near", 1, last_request().stamp, {5}, {}};
+    m_service.receive(granted);
+    EXPECT_EQ(m_orders.started.size(), 1U);
+}
+
+// A dispatcher went on with a job whose entry had given it up: nothing had told it so.
+TEST_F(a_forwarding_service, drops_a_job_that_its_entry_has_released) {
+    hold_an_executor();
+    receive("near", "d", 0);
+    const auto answer = receive_job(5);
+    m_service.receive({"near", 1, last_request().stamp, {}, {5}});
+    EXPECT_EQ(m_dispatcher.open_jobs(), 0U);
+    EXPECT_EQ(m_observer.events.at(1).substr(0, 44),
+              "job_dropped near: released by that entry, la");
+    EXPECT_EQ(answer->sent.size(), 1U);
+}
+
+TEST_F(a_forwarding_service, ignores_answers_meant_for_another_incarnation_of_the_entry) {
+    hold_an_executor();
+    receive("near", "d", 0);
+    receive_job(5);
+    m_service.receive({"near", 2, last_request().stamp, {5}, {}});
+    m_service.receive({"near", 2, last_request().stamp, {}, {5}});
+    EXPECT_TRUE(m_orders.started.empty());
+    EXPECT_EQ(m_dispatcher.open_jobs(), 1U);
+}
+
 struct drop_case {
     const char* name;
     const char* detail;
@@ -292,8 +347,46 @@
         drop_case{"entry_lost", "near: entry lost, last heartbeat 120 ms ago"}),
     [](const auto& it) { return it.param.name; });
 
+// A dispatcher went on with a job whose entry had given it up: nothing had told it so.
+TEST_F(a_gateway, grants_leases_only_for_jobs_that_still_wait_for_this_dispatcher) {
+    receive("near", "d", 640000);
+    receive("farther", "other", 640000);
+    const auto first = submit();
+    submit();
+    const auto given_up = m_client.sent[0].message.number;
+    const auto held = m_client.sent[1].message.number;
+    m_gateway.abandon(first);
+    const lease_stamp stamp{5, milliseconds(70)};
+    const lease_request request{"near", stamp, 1, {given_up, held, 99}};
+    EXPECT_EQ(m_gateway.grant_leases(request),
+              (lease_answer{"self", 1, stamp, {held}, {given_up, 99}}));
+
+    const lease_request of_another_dispatcher{"farther", stamp, 1, {held}};
+    EXPECT_TRUE(m_gateway.grant_leases(of_another_dispatcher).held.empty());
+    const lease_request to_an_earlier_incarnation{"near", stamp, 0, {held}};
+    EXPECT_TRUE(m_gateway.grant_leases(to_an_earlier_incarnation).held.empty());
+}
+
+TEST_F(a_gateway, grants_no_lease_after_a_job_has_ended) {
+    receive("near", "d", 640000);
+    submit();
+    const auto number = m_client.sent[0].message.number;
+    m_client.sent[0].done(make_error_code(common::error::connection_lost));
+    EXPECT_TRUE(m_gateway.grant_leases({"near", {5, milliseconds(70)}, 1, {number}}).held.empty());
+}
+
+TEST_F(a_gateway, sends_the_dispatchers_latest_stamp_with_a_job) {
+    receive("near", "d", 640000);
+    const lease_stamp stamp{5, milliseconds(70)};
+    m_gateway.grant_leases({"near", stamp, 1, {}});
+    submit();
+    EXPECT_EQ(m_client.sent[0].message.stamp, stamp);
+    EXPECT_EQ(m_client.sent[0].message.from_incarnation, 1U);
+}
+
 TEST(forwarding_codec, keeps_all_fields_of_a_job) {
-    passed_job it{cell::make_job("a", 3, milliseconds(70)), "entry-1"};
+    passed_job it{cell::make_job("a", 3, milliseconds(70)), "entry-1", 7, 1000,
+                  lease_stamp{2000, milliseconds(30)}};
     it.job.steps[0].required_label = "fast";
     it.job.steps[0].preferred_rack = "r1";
     it.job.steps[0].max_per_executor = 2;
