A lease counts as expired only when no restarted executor can still hold it

What callers saw: nothing yet; cells_test two_runs.executor_restarts_unnoticed and a random sequence of cell_fuzz_test (, with executors' leases of 680 ms) had a task running twice in one cell.

Cause: an executor that restarts under its id counts its clock anew. A start or renewal that carries the end of a lease by its former clock then looks like a very long one, which it cuts to its longest lease, 1 s from when it receives the order. While the answers that would show the restart are lost, the manager counted on its own shorter lease, and started the task elsewhere too early.

Change: an unanswered grant holds until the executor's longest lease after it; one that the executor has answered since holds to its end as before.

Open: a run in another failure domain is not protected from this, if stops are lost as well; see docs/design/job-leases.md.

--- a/source/core/cell/executor_manager.cpp
+++ b/source/core/cell/executor_manager.cpp
@@ -120,6 +120,22 @@
     return std::min(full, it.clock.end_of_lease(now, left));
 }
 
+void executor_manager::note_grant(executor_record& it, std::int64_t until) const {
+    it.lease_until = std::max(it.lease_until, until);
+    it.granted_at = m_clock.now();
+    it.is_grant_confirmed = false;
+}
+
+bool executor_manager::has_lease_expired(const executor_record& it) const {
+    const auto now = m_clock.now();
+    if (it.clock.estimate(now) <= it.lease_until + lease_end_margin_ms) {
+        return false;
+    }
+    // A restarted process grants its longest lease from when it receives the order.
+    const auto longest = executor_clock::longest(m_limits.longest_lease) + m_limits.order_timeout;
+    return it.is_grant_confirmed || now > it.granted_at + longest;
+}
+
 void executor_manager::request_report(executor_record& it, milliseconds wait) {
     report_request request;
     request.number = m_next_report++;
@@ -131,7 +147,7 @@
                         it.clock.is_known() && it.foreign_runs.empty() && !it.runs.empty();
     if (const auto until = renews ? next_lease_end(it) : 0; until > it.lease_until) {
         request.until_ms = until;
-        it.lease_until = until;
+        note_grant(it, until);
     }
     it.pending_reports.push_back({request.number, m_clock.now(), wait});
     m_orders.ask_report(it.info, request);
@@ -172,7 +188,7 @@
     order.payload = payload;
     order.until_ms = next_lease_end(*it);
     order.fence = it->fence;
-    it->lease_until = std::max(it->lease_until, order.until_ms);
+    note_grant(*it, order.until_ms);
     m_orders.start(it->info, order);
     return true;
 }
@@ -186,7 +202,7 @@
     order.until_ms = next_lease_end(it);
     order.fence = it.fence;
     order.is_repeat = true;
-    it.lease_until = std::max(it.lease_until, order.until_ms);
+    note_grant(it, order.until_ms);
     m_orders.start(it.info, order);
 }
 
@@ -422,6 +438,7 @@
     if (report.start_time_ms != 0) {
         it.start_time_ms = report.start_time_ms;
     }
+    it.is_grant_confirmed = it.is_grant_confirmed || request.sent_at >= it.granted_at;
     it.clock.observe(report.clock_ms, now);
     if (it.state == claim_state::claiming && it.is_adopted && !report.running.empty()) {
         // Runs are still being renewed: the previous holder is alive, and will claim it back.
@@ -523,7 +540,7 @@
                    run.stop_sent_at && now - *run.stop_sent_at > stop_retry) {
             send_stop(it, key, run);
         }
-        if (it.clock.estimate(now) > it.lease_until + lease_end_margin_ms) {
+        if (has_lease_expired(it)) {
             expired.push_back(key);
         }
     }
--- a/source/core/cell/executor_manager.h
+++ b/source/core/cell/executor_manager.h
@@ -136,6 +136,10 @@
     // The end of the lease that may be granted now, on the executor's clock.
     std::int64_t next_lease_end(const executor_record& it) const;
     common::time_point all_may_run_until(const executor_record& it) const;
+    // To be called with each order that carries the end of a lease.
+    void note_grant(executor_record& it, std::int64_t until) const;
+    // Whether no run of this entry can be left there.
+    bool has_lease_expired(const executor_record& it) const;
 
     const limits m_limits;
     const common::clock& m_clock;
--- a/source/core/cell/executor_record.h
+++ b/source/core/cell/executor_record.h
@@ -64,6 +64,10 @@
     std::int64_t start_time_ms = 0; // of the executor process that sent the latest report
     std::int64_t acknowledged = 0;  // sequence number of the latest ended run that was processed
     std::int64_t lease_until = 0;   // on its clock; no run of this entry outlives it
+    // When the lease was last granted, and whether the process that it was computed for has
+    // answered since. A process that has restarted unnoticed reads the lease by another clock.
+    common::time_point granted_at;
+    bool is_grant_confirmed = false;
     std::map<work::run_key, run_record> runs;
     std::set<work::run_key> foreign_runs; // runs of other holders, by the latest report
     work::resources used;                 // total of `runs`
