An entry holds a job no longer than its caller waits, whatever kept the entry from running

What callers saw: nothing yet; cells_test two_runs.entry_reads_the_job_late and random sequences of cells_fuzz_test had a task running twice, with leases too, as the entry granted them in good faith for a caller that had gone.

Cause: a caller's patience counted from when the entry read the job. A process that had not run for 2.1 s, with its caller behind a cut, took the job for fresh, 0.1 s after its caller had stopped waiting. The same where the VM was suspended after it took the job: its steady clock stood still. And where the caller had sent the job again to the same entry, the earlier attempt was held on, and granted leases.

Change: what a stall may have held up counts as waited; suspensions count against the patience of the jobs held; a job that comes again ends its earlier attempts at this entry.

--- a/source/core/common/clock.h
+++ b/source/core/common/clock.h
@@ -30,14 +30,18 @@
     milliseconds suspended() const override;
 };
 
-// A clock that changes only through advance(). Not synchronised: for single-threaded tests.
+// A clock that changes only through advance() and suspend(). Not synchronised: for single-threaded
+// tests.
 class manual_clock final : public clock {
 public:
     time_point now() const override { return m_now; }
+    milliseconds suspended() const override { return m_suspended; }
     void advance(milliseconds step) { m_now += step; }
+    void suspend(milliseconds time) { m_suspended += time; }
 
 private:
     time_point m_now = time_point(std::chrono::hours(1));
+    milliseconds m_suspended{0};
 };
 
 } // namespace savorytrail::common
--- a/source/core/common/stall_detector.h
+++ b/source/core/common/stall_detector.h
@@ -4,6 +4,8 @@
 // Not thread-safe.
 #pragma once
 
+#include <algorithm>
+
 #include "core/common/clock.h"
 
 namespace savorytrail::common {
@@ -18,6 +20,7 @@
     void tick() {
         // The tick may run before other events of the same round of the loop, so one more tick is
         // waited for; a process that is late at every tick goes on at every second one.
+        m_last_stall = current_stall();
         m_was_last_tick_late = is_late() && !m_was_last_tick_late;
         m_last_tick = m_clock.now();
         m_suspended = m_clock.suspended();
@@ -26,6 +29,9 @@
     // There was a stall, and events that arrived during it may not have been processed yet.
     bool is_catching_up() const { return m_was_last_tick_late || is_late(); }
 
+    // How long an event that is processed now may have waited.
+    milliseconds longest_wait() const { return std::max(current_stall(), m_last_stall); }
+
     // The time since the last tick, without suspensions of the VM.
     milliseconds since_last_tick() const {
         return std::chrono::duration_cast<milliseconds>(m_clock.now() - m_last_tick);
@@ -36,11 +42,13 @@
 private:
     milliseconds elapsed() const { return since_last_tick() + suspended_since_last_tick(); }
     bool is_late() const { return elapsed() > m_tolerated; }
+    milliseconds current_stall() const { return is_late() ? elapsed() : milliseconds(0); }
 
     const clock& m_clock;
     const milliseconds m_tolerated;
     time_point m_last_tick;
-    milliseconds m_suspended; // total at the last tick
+    milliseconds m_suspended;     // total at the last tick
+    milliseconds m_last_stall{0}; // before the last tick; 0 if that was in time
     bool m_was_last_tick_late = false;
 };
 
--- a/source/core/gateway/gateway.cpp
+++ b/source/core/gateway/gateway.cpp
@@ -29,18 +29,22 @@
 
 } // namespace
 
-gateway::gateway(const common::clock& clock, fleet::view& view, cell::dispatcher& own,
-                 forwarding_client& client, cell::job_observer& observer,
-                 common::random_source& random)
-    : m_clock(clock), m_view(view), m_own(own), m_client(client), m_observer(observer),
-      m_random(random) {}
+gateway::gateway(const common::clock& clock, const common::stall_detector& stalls,
+                 fleet::view& view, cell::dispatcher& own, forwarding_client& client,
+                 cell::job_observer& observer, common::random_source& random)
+    : m_clock(clock), m_stalls(stalls), m_view(view), m_own(own), m_client(client),
+      m_observer(observer), m_random(random), m_suspended(clock.suspended()) {}
 
 std::uint64_t gateway::submit(work::job job, cell::done_callback done) {
+    end_earlier_attempts(job.id);
     const auto ticket = m_next_ticket++;
     open_job open;
     open.arrived = m_clock.now();
-    open.first_sent = open.arrived - job.waited;
-    open.give_up_at = open.arrived + job.patience;
+    // The request may have waited here while this process did not run. Its caller's patience counts
+    // from when it was sent.
+    const auto waited = m_stalls.longest_wait();
+    open.first_sent = open.arrived - job.waited - waited;
+    open.give_up_at = open.arrived + job.patience - waited;
     open.job = std::move(job);
     open.done = std::move(done);
     m_open.emplace(ticket, std::move(open));
@@ -120,7 +124,40 @@
     m_waiting.insert(ticket);
 }
 
+void gateway::end_earlier_attempts(const std::string& job) {
+    std::vector<std::uint64_t> earlier;
+    for (const auto& [ticket, it] : m_open) {
+        if (it.job.id == job) {
+            earlier.push_back(ticket);
+        }
+    }
+    for (const auto ticket : earlier) {
+        const auto done = m_open.at(ticket).done;
+        abandon(ticket);
+        done({work::job_end::given_up, "its caller has sent it again", retry_after});
+    }
+}
+
+void gateway::count_suspension() {
+    const auto suspended = m_clock.suspended() - std::exchange(m_suspended, m_clock.suspended());
+    if (suspended.count() <= 0) {
+        return;
+    }
+    std::vector<std::uint64_t> over;
+    for (auto& [ticket, it] : m_open) {
+        it.first_sent -= suspended;
+        it.give_up_at -= suspended;
+        if (it.forward_number != 0 && it.give_up_at <= m_clock.now()) {
+            over.push_back(ticket);
+        }
+    }
+    for (const auto ticket : over) {
+        cancel_forward(ticket, make_error_code(common::error::timed_out));
+    }
+}
+
 void gateway::tick() {
+    count_suspension();
     for (const auto& [ticket, it] : m_open) {
         if (it.cancel) {
             m_view.note_in_use(it.target, m_clock.now());
@@ -226,11 +263,15 @@
         }
     }
     for (const auto ticket : affected) {
-        if (auto cancel = std::exchange(m_open.at(ticket).cancel, nullptr)) {
-            cancel();
-        }
-        on_forwarding_failed(ticket, make_error_code(common::error::connection_lost));
+        cancel_forward(ticket, make_error_code(common::error::connection_lost));
+    }
+}
+
+void gateway::cancel_forward(std::uint64_t ticket, std::error_code ec) {
+    if (auto cancel = std::exchange(m_open.at(ticket).cancel, nullptr)) {
+        cancel();
     }
+    on_forwarding_failed(ticket, ec);
 }
 
 void gateway::note_caller_left(const open_job& job) {
--- a/source/core/gateway/gateway.h
+++ b/source/core/gateway/gateway.h
@@ -10,6 +10,7 @@
 
 #include "core/cell/dispatcher.h"
 #include "core/common/error.h"
+#include "core/common/stall_detector.h"
 #include "core/fleet/view.h"
 #include "core/gateway/forwarding_codec.h"
 #include "core/gateway/target_choice.h"
@@ -37,8 +38,9 @@
 
 class gateway {
 public:
-    gateway(const common::clock& clock, fleet::view& view, cell::dispatcher& own,
-            forwarding_client& client, cell::job_observer& observer, common::random_source& random);
+    gateway(const common::clock& clock, const common::stall_detector& stalls, fleet::view& view,
+            cell::dispatcher& own, forwarding_client& client, cell::job_observer& observer,
+            common::random_source& random);
 
     // `done` is called once, possibly before this returns, unless the ticket is abandoned.
     std::uint64_t submit(work::job job, cell::done_callback done);
@@ -77,6 +79,11 @@
     void forward(std::uint64_t ticket, const fleet::peer& to);
     bool is_held_for(const std::string& dispatcher, std::uint64_t forward_number) const;
     void end_forward(open_job& it);
+    void cancel_forward(std::uint64_t ticket, std::error_code ec);
+    // The caller sends the job again: its earlier attempts have ended, seen here or not.
+    void end_earlier_attempts(const std::string& job);
+    // Callers' patience ran on while the VM was suspended.
+    void count_suspension();
     void wait_or_refuse(std::uint64_t ticket);
     void refuse(std::uint64_t ticket, const std::string& reason);
     void on_outcome(std::uint64_t ticket, const work::outcome& outcome);
@@ -85,6 +92,7 @@
     void note_caller_left(const open_job& job);
 
     const common::clock& m_clock;
+    const common::stall_detector& m_stalls;
     fleet::view& m_view;
     cell::dispatcher& m_own;
     forwarding_client& m_client;
@@ -95,6 +103,7 @@
     std::map<std::string, std::int64_t> m_sent_since_heartbeat; // thousandths of a core, by entry
     std::map<std::uint64_t, std::uint64_t> m_forwards;          // tickets, by number of the forward
     std::map<std::string, lease_stamp> m_last_stamps;           // by dispatcher
+    common::milliseconds m_suspended;                           // total at the last tick
     std::uint64_t m_next_ticket = 1;
     std::uint64_t m_next_forward = 1;
 };
--- a/source/unit_tests/cells/simulated_entry.cpp
+++ b/source/unit_tests/cells/simulated_entry.cpp
@@ -48,7 +48,7 @@
       m_dispatcher(own_limits(), *this, m_manager, *this),
       m_view(own_identity(fleet, slot, incarnation), simulated_network::address_of(slot).port, {},
              now()),
-      m_gateway(*this, m_view, m_dispatcher, *this, *this, m_random),
+      m_gateway(*this, m_stalls, m_view, m_dispatcher, *this, *this, m_random),
       m_forwarding_service(
           *this, m_view, m_dispatcher, *this, own_limits().job_lease,
           [this](const auto& entry, const auto& bytes) { send_to(entry, bytes); }) {
--- a/source/unit_tests/gateway/gateway_test.cpp
+++ b/source/unit_tests/gateway/gateway_test.cpp
@@ -71,7 +71,11 @@
 
 class a_gateway : public testing::Test {
 protected:
-    a_gateway() { m_clock.advance(milliseconds(1000)); }
+    a_gateway() {
+        m_clock.advance(milliseconds(1000));
+        m_stalls.tick(); // late
+        m_stalls.tick();
+    }
 
     void receive(const std::string& name, const std::string& domain, std::int64_t free) {
         fleet::heartbeat it;
@@ -97,7 +101,8 @@
     cell::dispatcher m_dispatcher{{}, m_clock, m_executor_manager, m_observer};
     fleet::view m_view{{"self", "d", "10.0.0.1", 1, 250}, 7000, {}, m_clock.now()};
     common::seeded_random m_random{1};
-    gateway m_gateway{m_clock, m_view, m_dispatcher, m_client, m_observer, m_random};
+    common::stall_detector m_stalls{m_clock, milliseconds(160)};
+    gateway m_gateway{m_clock, m_stalls, m_view, m_dispatcher, m_client, m_observer, m_random};
     std::vector<work::outcome> m_outcomes;
 };
 
@@ -367,6 +372,52 @@
     EXPECT_TRUE(m_gateway.grant_leases(to_an_earlier_incarnation).held.empty());
 }
 
+// A job that waited while its entry stood still ran after its caller had given up waiting.
+TEST_F(a_gateway, counts_the_time_that_a_job_may_have_waited_during_a_stall) {
+    receive("near", "d", 640000);
+    m_clock.advance(milliseconds(1200));
+    submit();
+    ASSERT_EQ(m_client.sent.size(), 1U);
+    EXPECT_LE(m_client.sent[0].message.job.patience, milliseconds(2000 - 1200));
+}
+
+TEST_F(a_gateway, refuses_a_job_that_may_have_waited_for_longer_than_its_caller_does) {
+    receive("near", "d", 640000);
+    m_clock.advance(milliseconds(2100));
+    m_stalls.tick();
+    receive("near", "d", 640000);
+    submit();
+    EXPECT_TRUE(m_client.sent.empty());
+    ASSERT_EQ(m_outcomes.size(), 1U);
+    EXPECT_EQ(m_outcomes[0].end, job_end::not_run);
+}
+
+// An entry granted leases for an attempt whose end it had not seen, while its caller's next one
+// ran.
+TEST_F(a_gateway, ends_the_earlier_attempt_of_a_caller_that_sends_a_job_again) {
+    receive("near", "d", 640000);
+    submit();
+    const auto first = m_client.sent[0].message.number;
+    submit();
+    ASSERT_EQ(m_outcomes.size(), 1U);
+    EXPECT_EQ(m_outcomes[0].end, job_end::given_up);
+    EXPECT_TRUE(m_client.sent[0].is_cancelled);
+    const auto second = m_client.sent[1].message.number;
+    EXPECT_EQ(m_gateway.grant_leases({"near", {5, milliseconds(70)}, 1, {first, second}}).held,
+              std::vector<std::uint64_t>{second});
+}
+
+// An entry held a job for longer than its caller waited, as its clock had stood still.
+TEST_F(a_gateway, counts_a_suspension_against_the_patience_of_callers) {
+    receive("near", "d", 640000);
+    submit();
+    m_clock.suspend(milliseconds(2100));
+    m_gateway.tick();
+    ASSERT_EQ(m_outcomes.size(), 1U);
+    EXPECT_EQ(m_outcomes[0].end, job_end::given_up);
+    EXPECT_TRUE(m_client.sent[0].is_cancelled);
+}
+
 TEST_F(a_gateway, grants_no_lease_after_a_job_has_ended) {
     receive("near", "d", 640000);
     submit();
--- a/source/unit_tests/gateway/job_leases_test.cpp
+++ b/source/unit_tests/gateway/job_leases_test.cpp
@@ -13,19 +13,6 @@
 constexpr milliseconds lease{975};
 const forward_id forward{"entry", 3, 41};
 
-// A clock whose VM can be suspended.
-class suspendable_clock final : public common::clock {
-public:
-    common::time_point now() const override { return m_clock.now(); }
-    milliseconds suspended() const override { return m_suspended; }
-    void advance(milliseconds time) { m_clock.advance(time); }
-    void suspend(milliseconds time) { m_suspended += time; }
-
-private:
-    common::manual_clock m_clock;
-    milliseconds m_suspended{0};
-};
-
 class leases_of_jobs : public testing::Test {
 protected:
     // The only request that is due.
@@ -39,7 +26,7 @@
         return {forward.entry, forward.incarnation, to.stamp, to.numbers, {}};
     }
 
-    suspendable_clock m_clock;
+    common::manual_clock m_clock;
     job_leases m_leases{m_clock, "dispatcher", own_incarnation, lease};
 };
 
