A claim is confirmed only by a report that was requested under its fence

What was missing: claim() kept the pending reports of the earlier fence. A long poll (up to 1.5 s) that was sent under it and answered `accepted` late, with no runs, made the executor `held` although the claim with the new fence had no answer yet. Until it had, another entry could hold the executor as well.

Cause: on_report() takes any number that is pending, and claim() did not drop those of the fence that it replaces. Nothing else depends on them: ended runs are reported again until they are acknowledged, renewals happen only while held, and a claim always sends its own request.

Evidence: a_claim.is_not_confirmed_by_a_report_that_was_requested_under_an_earlier_fence failed before the change (held() not empty after the late report) and passes with it.

--- a/source/core/cell/executor_manager.cpp
+++ b/source/core/cell/executor_manager.cpp
@@ -76,6 +76,7 @@
 
 void executor_manager::claim(executor_record& it) {
     set_state(it, claim_state::claiming);
+    it.pending_reports.clear(); // a late answer to one of an earlier fence confirms nothing
     request_report(it, milliseconds(0));
 }
 
--- a/source/core/cell/executor_record.h
+++ b/source/core/cell/executor_record.h
@@ -62,6 +62,7 @@
     std::map<work::run_key, run_record> runs;
     std::set<work::run_key> foreign_runs; // runs of other holders, by the latest report
     work::resources used;                 // total of `runs`
+    // Invariant: all were requested under `fence`.
     std::vector<pending_report> pending_reports;
     common::time_point next_report_request;       // earliest time
     common::time_point lost_at;                   // latest
