A failed job no longer leaves its last task counted as being stopped

What callers saw: a job that had failed and was sent again under its id never ran there again at the same entry: its failed task was not started, and the job ended as `not_run`. Each failed job also left an entry in m_stopping_runs and m_stopping_jobs for ever, and its runs_stopped was never logged.

Cause: on_failure() closed the job while the failed task was still `active`, although its run had ended and its record was gone. close() counted it as a run that is being stopped, and no end of a run ever counts it down. The task's state now changes before the job may be closed.

Evidence: a_failed_job.can_be_run_again failed before the change (not_run where succeeded was expected) and passes with it.

--- a/source/core/cell/dispatcher.cpp
+++ b/source/core/cell/dispatcher.cpp
@@ -350,12 +350,11 @@
     m_executor_manager.note_failure(task.executor, task.failures == 0);
     task.failures++;
     task.avoid = task.executor;
+    job->set_state(task, task_state::waiting); // its run has ended: close() must not await it
     m_observer.job_event(job->job().id, "task_failed", task.executor);
     if (task.failures >= job->job().queue.max_attempts) {
         close(job, {work::job_end::failed, "a task failed as often as allowed", {}});
-        return;
     }
-    job->set_state(task, task_state::waiting);
 }
 
 void dispatcher::on_suspended() {
--- a/source/unit_tests/cell/timing_test.cpp
+++ b/source/unit_tests/cell/timing_test.cpp
@@ -4,11 +4,13 @@
 
 #include "core/cell/dispatcher.h"
 #include "unit_tests/cell/jobs.h"
+#include "unit_tests/cell/simulated_cell.h"
 
 namespace savorytrail::cell {
 namespace {
 
 using common::milliseconds;
+using work::job_end;
 using work::order_status;
 
 class recorded_orders final : public order_sink {
@@ -65,5 +67,30 @@
     EXPECT_TRUE(manager.held().empty());
 }
 
+// A job that had failed could not be run again under its id: its failed task counted as being
+// stopped for ever.
+TEST(a_failed_job, can_be_run_again) {
+    simulated_cell cell(7, 4, {64000, 131072, 0}, 1);
+    cell.at(0).assign(cell.executor_infos());
+    cell.run_for(milliseconds(100));
+    bool fails = true;
+    cell.actual_run = [&](const work::job& job, const work::task_id&) {
+        return simulated_executor::simulated_task{job.steps[0].task_resources, milliseconds(10),
+                                                  fails};
+    };
+    std::vector<job_end> ends;
+    const auto submit = [&] {
+        cell.at(0).submit(make_job("a", 1, milliseconds(10)),
+                          [&](const auto& it) { ends.push_back(it.end); });
+    };
+    submit();
+    cell.run_for(milliseconds(500));
+    ASSERT_EQ(ends, std::vector{job_end::failed});
+    fails = false;
+    submit();
+    cell.run_for(milliseconds(1000));
+    EXPECT_EQ(ends, (std::vector{job_end::failed, job_end::succeeded}));
+}
+
 } // namespace
 } // namespace savorytrail::cell
