A client key stands for its submission as long as that may be open

What callers saw: with a deadline above the id's lifetime (120 s by default, deadlines go to 600 s), the same job sent again under the same Idempotency-Key, while the first submission was still open, started all its tasks a second time, without any fault.

Cause: the key's row in the platform's table was deleted one id lifetime after its claim. An id may be used for that long, but what was submitted under it is open until its deadline.

--- a/source/core/claim/claimer.h
+++ b/source/core/claim/claimer.h
@@ -37,8 +37,9 @@
     // timeout; the claim may still take effect, and a later claim then finds its row.
     common::result<resolved_claim> claim(pending_claim wanted, common::milliseconds timeout);
 
-    // Deletes the row after `expiry`, when its id has certainly expired, in one transaction with
-    // others. Deletions stay pending while the table is unreachable, up to max_pending_deletions.
+    // Deletes the row after `expiry`, when certainly nothing more can start under its id, in one
+    // transaction with others. Deletions stay pending while the table is unreachable, up to
+    // max_pending_deletions.
     void delete_after(common::time_point expiry, const claimed_key& row);
 
     // Removes and returns the rows whose deletion is pending, for the successor.
--- a/source/core/routing/keyed_router.cpp
+++ b/source/core/routing/keyed_router.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr common::milliseconds store_unavailable_retry{1000};
+// A home closes a submission at most this long after its deadline.
+constexpr common::milliseconds closing_delay{1000};
 
 // Must not be reported as refused: an earlier attempt with the key may have been accepted and run.
 peer::forward_result store_unavailable() {
@@ -19,6 +21,12 @@
     return it;
 }
 
+// Whether nothing more can start under the id. A home that counts as dead may still be running.
+bool is_over(const peer::forward_result& it) {
+    return it.outcome == peer::forward_outcome::answered && job::is_final(it.answer.state) &&
+           it.answer.why != job::reason::home_dead;
+}
+
 } // namespace
 
 keyed_result keyed_router::submit(const std::string& key, job::job job, common::milliseconds wait) {
@@ -34,22 +42,28 @@
         it.result.outcome = peer::forward_outcome::different_body;
         return it;
     }
+    const auto open_for = job.deadline.count() > 0 ? job.deadline : m_default_deadline;
     it.result = m_router.route({peer::request_kind::submit, row.id, std::move(job), wait, {}});
-    delete_when_expired(row_key, claimed.value(), it.result);
+    delete_when_over(row_key, claimed.value(), open_for, it.result);
     return it;
 }
 
 // Each home deletes the rows of its own ids. A row of a home that no longer exists is deleted by
-// the entry that finds it, one id lifetime from now: by then the id has expired, whatever the clock
-// of its home.
-void keyed_router::delete_when_expired(const std::string& row_key,
-                                       const claim::resolved_claim& claimed,
-                                       const peer::forward_result& result) {
+// the entry that finds it. One id lifetime from now, the id has expired, whatever the clock of its
+// home, so that nothing can be submitted under it. What was submitted before is closed `open_for`
+// later, unless it is over already; until then, a new id for the key would start its tasks again.
+void keyed_router::delete_when_over(const std::string& row_key,
+                                    const claim::resolved_claim& claimed,
+                                    common::milliseconds open_for,
+                                    const peer::forward_result& result) {
     const bool is_own = claimed.row.id.home == m_ids.self();
     const bool is_orphaned =
         result.answer.why == job::reason::home_dead || result.answer.why == job::reason::id_expired;
-    if (is_own || is_orphaned)
-        m_claimer.delete_after(m_ids.latest_expiry(), {row_key, claimed.version});
+    if (!is_own && !is_orphaned)
+        return;
+    const auto expiry = m_ids.latest_expiry();
+    const auto over = is_over(result) ? expiry : expiry + open_for + closing_delay;
+    m_claimer.delete_after(over, {row_key, claimed.version});
 }
 
 } // namespace savorytrail::routing
