A dispatcher that restarts before it is missed is lost to the entries that forwarded jobs to it

What callers saw: when a dispatcher lost power (no connection ended) and ran again under its name before its heartbeats were missed, callers of jobs that had been forwarded to its earlier life waited until their patience had ended.

Cause: view::learn_identity() resets what is known of the entry, `was_live` included, so that refresh() never reported the earlier incarnation. receive() now returns it in `learnt.restarted`, and the entry tells its gateway, before any job goes to the new life. A first sight is no loss, and neither is the return of an entry that was reported lost before. Only the gateway is told: the jobs that an entry received from the earlier life are not dropped by this, as a job of the new life may arrive before its first heartbeat does.

--- a/source/core/fleet/view.cpp
+++ b/source/core/fleet/view.cpp
@@ -56,10 +56,15 @@
     entry.address = {it.host, m_port};
 }
 
-bool view::learn_identity(peer& it, const entry_identity& identity, time_point now) {
+bool view::learn_identity(peer& it, const entry_identity& identity, time_point now,
+                          learnt& result) {
     if (it.key != 0 && identity.incarnation <= it.identity.incarnation) {
         return false;
     }
+    result.seen.push_back(identity.name);
+    if (it.was_live || is_live(it, now)) {
+        result.restarted.push_back(identity.name);
+    }
     m_keys.erase(it.key);
     const auto link = it.link;
     it = peer();
@@ -98,8 +103,7 @@
     auto identity = it.sender;
     identity.host = host;
     auto& entry = m_peers[identity.name];
-    if (learn_identity(entry, identity, now)) {
-        result.seen.push_back(identity.name);
+    if (learn_identity(entry, identity, now, result)) {
         entry.link.last_sent.reset(); // send it a heartbeat at once
     }
     const bool is_late = identity.incarnation < entry.identity.incarnation ||
@@ -152,9 +156,7 @@
         if (it.identity->name.empty() || it.identity->name == m_self.name) {
             return;
         }
-        if (learn_identity(m_peers[it.identity->name], *it.identity, now)) {
-            result.seen.push_back(it.identity->name);
-        }
+        learn_identity(m_peers[it.identity->name], *it.identity, now, result);
     }
     const auto known = m_keys.find(it.key);
     if (known == m_keys.end()) {
--- a/source/core/fleet/view.h
+++ b/source/core/fleet/view.h
@@ -79,6 +79,9 @@
     // Names of entries of which something new was learnt.
     struct learnt {
         std::vector<std::string> seen; // new incarnations
+        // Those among them whose earlier incarnation was not lost yet: it is now, and refresh()
+        // does not return it.
+        std::vector<std::string> restarted;
         std::vector<std::string> updated;
 
         bool operator==(const learnt&) const = default;
@@ -178,7 +181,8 @@
     bool hears_this_entry(const peer& it, common::time_point now) const;
     void update_link(peer& it, common::time_point now);
     // Returns whether the incarnation is new.
-    bool learn_identity(peer& it, const entry_identity& identity, common::time_point now);
+    bool learn_identity(peer& it, const entry_identity& identity, common::time_point now,
+                        learnt& result);
     void learn_status(peer& it, const entry_status& status, common::time_point sign,
                       common::time_point now);
     void receive_news(const entry_news& it, common::time_point now, learnt& result);
--- a/source/unit_tests/cells/simulated_entry.cpp
+++ b/source/unit_tests/cells/simulated_entry.cpp
@@ -209,6 +209,10 @@
         return;
     }
     const auto learnt = m_view.receive(*it, from.host, now());
+    for (const auto& restarted : learnt.restarted) {
+        m_fleet.note(name() + " entry_lost " + restarted + ", restarted");
+        m_gateway.on_entry_lost(restarted);
+    }
     for (const auto& updated : learnt.updated) {
         m_gateway.on_load_learnt(updated);
     }
--- a/source/unit_tests/cells/simulated_fleet_test.cpp
+++ b/source/unit_tests/cells/simulated_fleet_test.cpp
@@ -94,6 +94,30 @@
     EXPECT_EQ(entry.now(), before + milliseconds(600));
 }
 
+// An entry that forwarded a job to a dispatcher that lost power, and restarted before it was
+// missed, kept the caller waiting until its patience had ended.
+TEST(simulated_fleet, a_caller_whose_dispatcher_restarts_unnoticed_sends_again) {
+    for (std::uint64_t seed = 1; seed <= 20; seed++) {
+        simulated_fleet fleet({seed, 2, {0, 4}});
+        fleet.callers().choose_entry = [](std::size_t, int) { return 0; };
+        fleet.run_for(settle_time);
+        const auto caller = fleet.callers().submit(cell::make_job("job", 2, milliseconds(1500)));
+        fleet.run_for(milliseconds(100));
+        const int dispatcher = fleet.dispatcher_of(1);
+        ASSERT_EQ(fleet.passed_to["job"], simulated_entry::name_of(dispatcher));
+        fleet.end_entry(dispatcher, false);
+        fleet.run_for(milliseconds(100));
+        fleet.restart_entry(dispatcher);
+        const auto restart = fleet.time().now();
+        const auto is_answered = [&] { return fleet.callers().is_answered(caller, restart); };
+        EXPECT_TRUE(fleet.run_until(is_answered, milliseconds(600))) << "seed " << seed;
+        const auto has_ended = [&] { return fleet.callers().end_of(caller).has_value(); };
+        EXPECT_TRUE(fleet.run_until(has_ended, milliseconds(8000))) << "seed " << seed;
+        EXPECT_EQ(fleet.callers().end_of(caller), work::job_end::succeeded) << "seed " << seed;
+        EXPECT_TRUE(fleet.violations.empty()) << fleet.violations.front();
+    }
+}
+
 // What the simulation is for: the check sees a task that runs on two executors.
 TEST(simulated_fleet, two_runs_of_a_task_are_a_violation) {
     simulated_fleet fleet({});
--- a/source/unit_tests/fleet_view/view_test.cpp
+++ b/source/unit_tests/fleet_view/view_test.cpp
@@ -96,6 +96,61 @@
     EXPECT_EQ(m_view.dispatchers("d", 10, m_now), names{"self"});
 }
 
+// An entry that restarted before it was missed was never reported as lost, so that callers of jobs
+// at its earlier life waited until their patience ended.
+TEST_F(entries, one_that_restarts_before_it_is_missed_is_reported_lost) {
+    receive(make_heartbeat("old", 1));
+    m_now += milliseconds(300);
+    auto again = make_heartbeat("old", 2);
+    names lost;
+    for (int i = 0; i < 50; i++) {
+        again.status.sequence++;
+        const auto learnt = m_view.receive(again, "10.0.0.9", m_now);
+        lost.insert(lost.end(), learnt.restarted.begin(), learnt.restarted.end());
+        EXPECT_EQ(lost, names{"old"}) << i; // at once, so that no job at its new life is affected
+        for (const auto& name : m_view.refresh(m_now)) {
+            lost.push_back(name);
+        }
+        m_now += milliseconds(100);
+    }
+    EXPECT_EQ(lost, names{"old"});
+}
+
+// News of its new life may arrive before its heartbeats do.
+TEST_F(entries, one_that_restarted_is_reported_lost_by_news) {
+    receive(make_heartbeat("other", 1));
+    receive(make_heartbeat("old", 2));
+    auto relay = make_heartbeat("other", 1);
+    relay.status.sequence = m_sequence++;
+    const auto restarted = make_heartbeat("old", 3);
+    entry_news news;
+    news.key = entry_key(restarted.sender);
+    news.identity = restarted.sender;
+    news.status.sequence = 1;
+    relay.news = {news};
+    EXPECT_EQ(m_view.receive(relay, "10.0.0.9", m_now).restarted, names{"old"});
+    relay.status.sequence = m_sequence++;
+    EXPECT_EQ(m_view.receive(relay, "10.0.0.9", m_now).restarted, names());
+}
+
+TEST_F(entries, one_that_is_seen_for_the_first_time_is_not_reported_lost) {
+    m_view.add_entry({"listed", "d", "10.0.0.9"});
+    for (const auto* name : {"listed", "unlisted"}) {
+        const auto learnt = m_view.receive(make_heartbeat(name, 1), "10.0.0.9", m_now);
+        EXPECT_EQ(learnt.seen, names{name});
+        EXPECT_EQ(learnt.restarted, names());
+    }
+}
+
+TEST_F(entries, one_that_restarts_after_it_was_missed_is_reported_lost_once) {
+    receive(make_heartbeat("old", 1));
+    m_now += milliseconds(650);
+    ASSERT_EQ(m_view.refresh(m_now), names{"old"});
+    const auto learnt = m_view.receive(make_heartbeat("old", 2), "10.0.0.9", m_now);
+    EXPECT_EQ(learnt.seen, names{"old"});
+    EXPECT_EQ(learnt.restarted, names());
+}
+
 // What it says of the time before there was a link to it does not count.
 TEST_F(entries, one_that_does_not_receive_heartbeats_is_lost) {
     auto it = make_heartbeat("deaf", 1);
