A report without its lists is unreadable, not one of an idle executor

What was missing: a report without `running` (or with null there) was read as one of an executor that runs nothing. All runs confirmed before it was requested counted as lost, and their tasks were started again beside the first runs. Without `ended`, ends were passed over. Not seen from the platform's executors.

Cause: decode_report() took an empty list where there was none. The earlier cases of unreadable reports lacked the other list and now have it, so that each still fails for its own reason only.

--- a/source/unit_tests/platform_adapter/codec_test.cpp
+++ b/source/unit_tests/platform_adapter/codec_test.cpp
@@ -79,10 +79,29 @@
     EXPECT_FALSE(decode_report(GetParam()));
 }
 
-INSTANTIATE_TEST_SUITE_P(codec, unreadable_reports,
-                         testing::Values("", "[]", "{}", R"({"clockMs":"5"})",
-                                         R"({"clockMs":5,"running":[[]]})",
-                                         R"({"clockMs":5,"ended":[["a","b",1,"done",""]]})"));
+INSTANTIATE_TEST_SUITE_P(
+    codec, unreadable_reports,
+    testing::Values("", "[]", "{}", R"({"clockMs":"5","running":[],"ended":[]})",
+                    R"({"running":[],"ended":[]})", R"({"clockMs":5,"running":[[]],"ended":[]})",
+                    R"({"clockMs":5,"running":[],"ended":[["a","b",1,"done",""]]})"));
+
+// A report without the list of its runs was read as one of an executor that runs nothing: all its
+// runs counted as lost, and were started again elsewhere beside the first ones.
+INSTANTIATE_TEST_SUITE_P(lists, unreadable_reports,
+                         testing::Values(R"({"clockMs":5})", R"({"clockMs":5,"ended":[]})",
+                                         R"({"clockMs":5,"running":[]})",
+                                         R"({"clockMs":5,"running":null,"ended":[]})",
+                                         R"({"clockMs":5,"running":[],"ended":null})",
+                                         R"({"clockMs":5,"running":{},"ended":[]})",
+                                         R"({"clockMs":5,"running":[],"ended":{}})"));
+
+TEST(executor_codec, reads_a_report_of_an_executor_that_runs_nothing) {
+    const auto report = decode_report(R"({"clockMs":5,"running":[],"ended":[]})");
+    ASSERT_TRUE(report);
+    EXPECT_EQ(report->clock_ms, 5);
+    EXPECT_TRUE(report->running.empty());
+    EXPECT_TRUE(report->ended.empty());
+}
 
 struct task_case {
     const char* text;
