HTTP client: bytes left over after a response are not the next request's answer

What was missing: when a server sent more than one response to a request, or an interim one (1xx) before its response, what was left was taken for the answer to the next request on the connection, as the reply to one start order for that to another. Safe only while all peers send exactly one response for each request.

Cause: a connection went back to the pool whatever was left in its buffer, and was taken from it whatever had arrived there meanwhile, if the loop had not run in between; an interim response ended the request. Now a connection with leftover bytes is closed, in the buffer after a response or at the socket before the next request, and interim responses are skipped.

--- a/source/core/reactor/http_client.cpp
+++ b/source/core/reactor/http_client.cpp
@@ -71,6 +71,9 @@
     void cancel(std::uint64_t request_number);
     void close();
     std::uint64_t request_number() const { return m_request_number; }
+    // Whether bytes have arrived while no request was outstanding. They must not be taken for the
+    // answer to the next one.
+    bool has_unread_bytes() const;
 
 private:
     void connect(common::milliseconds timeout);
@@ -165,9 +168,14 @@
         fail(common::error::connection_lost);
         return;
     }
+    if (http::to_status_class(m_parser->get().result_int()) == http::status_class::informational) {
+        read(); // the response is still to come
+        return;
+    }
     m_timer.cancel();
     auto response = m_parser->release();
-    const bool keep_alive = response.keep_alive();
+    // Bytes that are left over must not be taken for the answer to the next request.
+    const bool keep_alive = response.keep_alive() && m_buffer.size() == 0;
     const common::result<http_response> outcome = from_native(std::move(response));
     auto done = std::exchange(m_done, nullptr);
     const auto owner = m_owner.lock();
@@ -185,6 +193,11 @@
     done(outcome);
 }
 
+bool connection::has_unread_bytes() const {
+    error_code ec;
+    return m_socket.available(ec) > 0;
+}
+
 void connection::watch_idle() {
     m_socket.async_wait(tcp::socket::wait_read, [self = shared_from_this(),
                                                  request_number = m_request_number](error_code ec) {
@@ -246,7 +259,12 @@
         !new_connection && it != m_state->idle.end() && !it->second.empty()) {
         chosen = std::move(it->second.back());
         it->second.pop_back();
-    } else {
+    }
+    if (chosen && chosen->has_unread_bytes()) { // the loop has not noticed them yet
+        chosen->close();
+        chosen = nullptr;
+    }
+    if (!chosen) {
         chosen = std::make_shared<connection>(m_state, to);
     }
     chosen->start(std::move(request), timeout, std::move(done));
--- a/source/core/reactor/http_client.h
+++ b/source/core/reactor/http_client.h
@@ -1,6 +1,7 @@
 // An HTTP/1.1 client on the event loop. It pools keep-alive connections for each address and sends
 // one request at a time on each. Every request has its own time-out; a connection whose request
-// timed out is closed, since a late response would be taken for that of the next request.
+// timed out is closed, since a late response would be taken for that of the next request. So is one
+// on which more arrives than the response. Interim responses (1xx) are skipped.
 #pragma once
 
 #include <functional>
--- a/source/unit_tests/reactor/http_test.cpp
+++ b/source/unit_tests/reactor/http_test.cpp
@@ -1,5 +1,10 @@
 // Tests of the HTTP server and client against each other, and of the UDP socket, over loopback.
+#include <arpa/inet.h>
 #include <gtest/gtest.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <thread>
 
 #include "core/reactor/http_client.h"
 #include "core/reactor/http_server.h"
@@ -120,6 +125,115 @@
     EXPECT_EQ(m_server.connections(), 0U);
 }
 
+// A server that sends what it is told in reply to each request, also what is no response to it.
+class scripted_server {
+public:
+    struct reply {
+        std::string bytes;
+        std::string later; // 10 ms after them
+    };
+
+    explicit scripted_server(std::vector<reply> replies) : m_replies(std::move(replies)) {
+        sockaddr_in at{};
+        at.sin_family = AF_INET;
+        at.sin_port = htons(s_address.port);
+        ::inet_pton(AF_INET, s_address.host.c_str(), &at.sin_addr);
+        const int on = 1;
+        ::setsockopt(m_listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+        EXPECT_EQ(::bind(m_listener, reinterpret_cast<sockaddr*>(&at), sizeof at), 0);
+        EXPECT_EQ(::listen(m_listener, 8), 0);
+        m_thread = std::thread([this] { serve(); });
+    }
+    ~scripted_server() {
+        ::shutdown(m_listener, SHUT_RDWR); // ends accept()
+        m_thread.join();
+        ::close(m_listener);
+    }
+    scripted_server(const scripted_server&) = delete;
+    scripted_server& operator=(const scripted_server&) = delete;
+
+    inline static const common::endpoint s_address{"127.91.7.3", 18083};
+
+private:
+    void serve() {
+        std::size_t next = 0;
+        for (int caller = ::accept(m_listener, nullptr, nullptr); caller >= 0;
+             caller = ::accept(m_listener, nullptr, nullptr)) {
+            while (next < m_replies.size() && receive_request(caller)) {
+                send(caller, m_replies[next].bytes);
+                std::this_thread::sleep_for(milliseconds(10));
+                send(caller, m_replies[next].later);
+                next++;
+            }
+            ::close(caller);
+        }
+    }
+    static bool receive_request(int caller) {
+        std::string text;
+        char c = 0;
+        while (!text.ends_with("\r\n\r\n")) {
+            if (::recv(caller, &c, 1, 0) != 1) {
+                return false;
+            }
+            text += c;
+        }
+        return true;
+    }
+    static void send(int caller, const std::string& bytes) {
+        std::ignore = ::send(caller, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    }
+
+    const std::vector<reply> m_replies;
+    const int m_listener = ::socket(AF_INET, SOCK_STREAM, 0);
+    std::thread m_thread;
+};
+
+std::string response(const std::string& body) {
+    return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+struct reply_case {
+    const char* name;
+    scripted_server::reply first;
+};
+
+class unexpected_bytes : public testing::TestWithParam<reply_case> {};
+
+// What was left of the bytes that a server had sent was taken for the answer to the next request on
+// the connection, as a start order that was answered with the reply to another.
+TEST_P(unexpected_bytes, are_not_taken_for_the_next_answer) {
+    loop event_loop;
+    http_client client(event_loop);
+    scripted_server server({GetParam().first, {response("b"), ""}});
+    std::vector<std::string> results;
+    const std::function<void()> send = [&] {
+        http_request request;
+        request.method = "GET";
+        request.target = "/t";
+        client.send(scripted_server::s_address, request, milliseconds(500), [&](const auto& it) {
+            results.push_back(it ? it.value().body : it.error().message());
+            // All bytes arrive before the next request, which is sent at once.
+            std::this_thread::sleep_for(milliseconds(50));
+            results.size() < 2 ? send() : event_loop.stop();
+        });
+    };
+    send();
+    event_loop.after(milliseconds(2000), [&] { event_loop.stop(); });
+    event_loop.run();
+    EXPECT_EQ(results, (std::vector<std::string>{"a", "b"}));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    http, unexpected_bytes,
+    testing::Values(
+        reply_case{"none", {response("a"), ""}},
+        reply_case{"second_response", {response("a") + response("extra"), ""}},
+        reply_case{"second_response_later", {response("a"), response("extra")}},
+        reply_case{"part_of_a_response", {response("a") + "HTTP/1.1 2", ""}},
+        reply_case{"interim_response", {"HTTP/1.1 100 Continue\r\n\r\n" + response("a"), ""}},
+        reply_case{"interim_response_first", {"HTTP/1.1 103 Early Hints\r\n\r\n", response("a")}}),
+    [](const auto& it) { return std::string(it.param.name); });
+
 TEST(udp_socket, delivers_to_the_bound_address) {
     loop event_loop;
     std::vector<std::string> received;
