--- a/source/benchmarks/ways/main.cpp
+++ b/source/benchmarks/ways/main.cpp
@@ -36,7 +36,8 @@
                    home.task_done(task, {submission::task_end::answered, {200, "ok"}, {}});
                }),
           successors(table, clock), router(name, handler, peers, directory, successors),
-          claimer(table, clock, {}), keyed(ids, claimer, router, claim_bound) {
+          claimer(table, clock, {}),
+          keyed(ids, claimer, router, claim_bound, home::home_limits().default_deadline) {
         auto it = std::make_shared<manifest::manifest>();
         it->teams.push_back({"t", 0});
         it->upstreams.push_back({"u", std::chrono::seconds(1), 0, {}});
