Build with -O3 again: no concatenation that gcc 12 warns of

The deploy build (Release, warnings as errors) failed in dispatcher::note_starts with -Wrestrict, a false alarm of gcc 12 on operator+ of a literal and a temporary string.

--- a/source/core/cell/dispatcher.cpp
+++ b/source/core/cell/dispatcher.cpp
@@ -355,7 +355,8 @@
     for (const auto* it : started) {
         executors += (executors.empty() ? "" : " ") + it->executor;
         if (it->last_run_number > 1) {
-            executors += "#" + std::to_string(it->last_run_number);
+            executors += '#';
+            executors += std::to_string(it->last_run_number);
         }
     }
     m_observer.job_event(job.job().id, "tasks_started", executors);
