Forwards: abandon by number, fail only what is forwarded, ask for a new job's lease alone

What callers would have seen: a message "abandoned" that was held up dropped a later forward of the same job, whose caller then waited to its deadline; a job that a dispatcher had refused and that waited for another was given up when that dispatcher was lost; after a suspension of the VM, jobs read before the next tick had it counted twice, and were forwarded only to be cancelled. At a start of everything, each job without a lease asked for all leases of its entry.

--- a/source/core/gateway/forwarding_codec.cpp
+++ b/source/core/gateway/forwarding_codec.cpp
@@ -108,6 +108,7 @@
     schema::abandoned_job message;
     message.set_id(it.id);
     message.set_from(it.from);
+    message.set_number(it.number);
     return message.SerializeAsString();
 }
 
@@ -116,7 +117,7 @@
     if (!message.ParseFromString(bytes) || message.id().empty()) {
         return std::nullopt;
     }
-    return abandoned_job{message.id(), message.from()};
+    return abandoned_job{message.id(), message.from(), message.number()};
 }
 
 } // namespace savorytrail::gateway
--- a/source/core/gateway/forwarding_codec.h
+++ b/source/core/gateway/forwarding_codec.h
@@ -25,6 +25,7 @@
 struct abandoned_job {
     std::string id;
     std::string from;
+    std::uint64_t number = 0; // of the forward, as in passed_job
 
     bool operator==(const abandoned_job&) const = default;
 };
--- a/source/core/gateway/forwarding_http.cpp
+++ b/source/core/gateway/forwarding_http.cpp
@@ -50,10 +50,9 @@
         });
 }
 
-void http_forwarding_client::abandon(const common::endpoint& to, const std::string& job) {
+void http_forwarding_client::abandon(const common::endpoint& to, const abandoned_job& it) {
     // Best effort: the receiver also sees the connection close, or is told when it asks for leases.
-    m_client.send(to, post(abandon_path, encode(abandoned_job{job, m_self})), abandon_timeout,
-                  [](const auto&) {});
+    m_client.send(to, post(abandon_path, encode(it)), abandon_timeout, [](const auto&) {});
 }
 
 bool forwarding_service::handle(const reactor::http_request& request,
@@ -71,7 +70,8 @@
     if (const auto it = decode_abandoned(request.body)) {
         drop_if(
             [&](const received_job& open) {
-                return open.job == it->id && open.forward.entry == it->from;
+                return open.job == it->id && open.forward.entry == it->from &&
+                       open.forward.number == it->number;
             },
             "abandoned by that entry");
     }
@@ -101,12 +101,12 @@
         return; // answered already
     }
     it->second.ticket = ticket;
-    answer->on_disconnect([this, number] { drop(number, "connection ended"); });
     if (forward.number != 0) {
         m_by_forward[forward] = number;
         m_leases.add(forward, m_leases.held_until(passed->stamp));
         request_leases();
     }
+    answer->on_disconnect([this, number] { drop(number, "connection ended"); });
 }
 
 std::uint64_t forwarding_service::submit(const passed_job& it, cell::done_callback done) {
--- a/source/core/gateway/forwarding_http.h
+++ b/source/core/gateway/forwarding_http.h
@@ -17,15 +17,13 @@
 
 class http_forwarding_client final : public forwarding_client {
 public:
-    http_forwarding_client(reactor::http_client& client, std::string self)
-        : m_client(client), m_self(std::move(self)) {}
+    explicit http_forwarding_client(reactor::http_client& client) : m_client(client) {}
 
     canceller forward(const common::endpoint& to, const passed_job& it, callback done) override;
-    void abandon(const common::endpoint& to, const std::string& job) override;
+    void abandon(const common::endpoint& to, const abandoned_job& it) override;
 
 private:
     reactor::http_client& m_client;
-    const std::string m_self;
 };
 
 // The server side, on the entry whose dispatcher gets the job.
--- a/source/core/gateway/gateway.cpp
+++ b/source/core/gateway/gateway.cpp
@@ -36,6 +36,7 @@
       m_observer(observer), m_random(random), m_suspended(clock.suspended()) {}
 
 std::uint64_t gateway::submit(work::job job, cell::done_callback done) {
+    count_suspension(); // longest_wait() below counts it for the new job
     end_earlier_attempts(job.id);
     const auto ticket = m_next_ticket++;
     open_job open;
@@ -239,7 +240,8 @@
     if (it == m_open.end()) {
         return;
     }
-    end_forward(it->second);
+    const auto forward_number = std::exchange(it->second.forward_number, 0);
+    m_forwards.erase(forward_number);
     const auto& target = it->second.target;
     m_observer.job_event(it->second.job.id, "pass_lost",
                          target + ": " + ec.message() + ", " +
@@ -250,7 +252,7 @@
         return;
     }
     if (const auto* to = m_view.find(it->second.target)) {
-        m_client.abandon(to->address, it->second.job.id);
+        m_client.abandon(to->address, {it->second.job.id, m_view.self().name, forward_number});
     }
     finish(ticket, {work::job_end::given_up, "the way to its dispatcher broke", retry_after});
 }
@@ -258,7 +260,7 @@
 void gateway::on_entry_lost(const std::string& name) {
     std::vector<std::uint64_t> affected;
     for (const auto& [ticket, it] : m_open) {
-        if (it.target == name) {
+        if (it.target == name && it.forward_number != 0) {
             affected.push_back(ticket);
         }
     }
@@ -286,9 +288,9 @@
     if (it == m_open.end()) {
         return;
     }
-    end_forward(it->second);
     auto open = std::move(it->second);
     m_open.erase(it);
+    m_forwards.erase(open.forward_number);
     note_caller_left(open);
     if (open.target == m_view.self().name) {
         m_own.abandon(open.own_ticket);
@@ -297,7 +299,7 @@
     if (open.cancel) {
         open.cancel();
         if (const auto* to = m_view.find(open.target)) {
-            m_client.abandon(to->address, open.job.id);
+            m_client.abandon(to->address, {open.job.id, m_view.self().name, open.forward_number});
         }
     }
 }
--- a/source/core/gateway/gateway.h
+++ b/source/core/gateway/gateway.h
@@ -28,7 +28,7 @@
     // not called after the canceller has been.
     virtual canceller forward(const common::endpoint& to, const passed_job& it, callback done) = 0;
     // Tells an entry that the outcome of a job that this entry forwarded to it is no longer needed.
-    virtual void abandon(const common::endpoint& to, const std::string& job) = 0;
+    virtual void abandon(const common::endpoint& to, const abandoned_job& it) = 0;
 
 protected:
     forwarding_client() = default;
--- a/source/core/gateway/job_leases.cpp
+++ b/source/core/gateway/job_leases.cpp
@@ -1,6 +1,7 @@
 #include "core/gateway/job_leases.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace savorytrail::gateway {
 namespace {
@@ -40,7 +41,7 @@
     auto& to = m_holders[{it.entry, it.incarnation}];
     to.held_until[it.number] = held_until;
     if (held_until <= m_clock.now()) {
-        to.asked_at.reset(); // nothing of it starts before an answer
+        to.unasked.push_back(it.number);
     }
 }
 
@@ -79,25 +80,32 @@
     const auto now = m_clock.now();
     std::vector<addressed_request> list;
     for (auto& [key, it] : m_holders) {
-        if (!is_due(it, now)) {
-            continue;
-        }
-        it.asked_at = now;
-        lease_request request{m_self, {m_incarnation, reading()}, key.second, {}};
-        for (const auto& [number, held_until] : it.held_until) {
-            request.numbers.push_back(number);
-            if (request.numbers.size() == max_lease_numbers) {
-                list.push_back({key.first, request});
-                request.numbers.clear();
+        auto numbers = std::exchange(it.unasked, {});
+        if (is_due(it, now)) {
+            it.asked_at = now;
+            numbers.clear();
+            for (const auto& [number, held_until] : it.held_until) {
+                numbers.push_back(number);
             }
         }
-        if (!request.numbers.empty()) {
-            list.push_back({key.first, std::move(request)});
-        }
+        add_requests(list, key, numbers);
     }
     return list;
 }
 
+void job_leases::add_requests(std::vector<addressed_request>& list, const holder_key& of,
+                              const std::vector<std::uint64_t>& numbers) const {
+    for (std::size_t i = 0; i < numbers.size(); i += max_lease_numbers) {
+        const auto end = std::min(i + max_lease_numbers, numbers.size());
+        list.push_back({of.first,
+                        {m_self,
+                         {m_incarnation, reading()},
+                         of.second,
+                         {numbers.begin() + static_cast<std::ptrdiff_t>(i),
+                          numbers.begin() + static_cast<std::ptrdiff_t>(end)}}});
+    }
+}
+
 job_leases::renewals job_leases::receive(const lease_answer& it) const {
     renewals result;
     result.held_until = held_until(it.stamp);
--- a/source/core/gateway/job_leases.h
+++ b/source/core/gateway/job_leases.h
@@ -54,7 +54,8 @@
 
 private:
     struct holder {
-        std::optional<common::time_point> asked_at;
+        std::optional<common::time_point> asked_at; // for all
+        std::vector<std::uint64_t> unasked;         // new ones, of which nothing starts before
         std::map<std::uint64_t, common::time_point> held_until; // by number of the forward
     };
     using holder_key = std::pair<std::string, std::uint64_t>; // name and incarnation
@@ -62,6 +63,9 @@
     // Includes the time for which the VM was suspended.
     common::milliseconds reading() const;
     bool is_due(const holder& it, common::time_point now) const;
+    // Appends requests for these forwards, as many as their numbers need.
+    void add_requests(std::vector<addressed_request>& list, const holder_key& of,
+                      const std::vector<std::uint64_t>& numbers) const;
 
     const common::clock& m_clock;
     const std::string m_self;
--- a/source/unit_tests/cells/simulated_entry.cpp
+++ b/source/unit_tests/cells/simulated_entry.cpp
@@ -153,9 +153,9 @@
         m_forwarding_service.on_entry_lost(lost);
     }
     assign();
+    m_gateway.tick();
     m_manager.tick();
     m_dispatcher.tick();
-    m_gateway.tick();
     m_forwarding_service.tick();
 }
 
@@ -266,9 +266,8 @@
         });
 }
 
-void simulated_entry::abandon(const common::endpoint& to, const std::string& job) {
-    const auto body = gateway::encode(gateway::abandoned_job{job, name()});
-    m_fleet.network().send_request(*this, to, post("/abandoned", body), abandon_timeout,
+void simulated_entry::abandon(const common::endpoint& to, const gateway::abandoned_job& it) {
+    m_fleet.network().send_request(*this, to, post("/abandoned", encode(it)), abandon_timeout,
                                    [](const auto&) {});
 }
 
--- a/source/unit_tests/cells/simulated_entry.h
+++ b/source/unit_tests/cells/simulated_entry.h
@@ -54,7 +54,7 @@
                     const std::shared_ptr<reactor::responder>& answer) override;
     canceller forward(const common::endpoint& to, const gateway::passed_job& it,
                       callback done) override;
-    void abandon(const common::endpoint& to, const std::string& job) override;
+    void abandon(const common::endpoint& to, const gateway::abandoned_job& it) override;
     void executor_changed(const std::string& executor, std::string_view event,
                           std::string_view reason) override;
     void job_event(const std::string& job, std::string_view event,
