A request whose caller has left already is not started

Cause, suspected from the logs and shown in a test: what a client sent before it closed or reset its connection can still be read, and was served; its end was noticed only by the next read.

Change: before a request is served, the server looks whether its connection has ended.

--- a/source/core/reactor/http_server.cpp
+++ b/source/core/reactor/http_server.cpp
@@ -1,8 +1,11 @@
 #include "core/reactor/http_server.h"
 
+#include <sys/socket.h>
+
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
+#include <cerrno>
 #include <deque>
 #include <optional>
 
@@ -65,6 +68,8 @@
     void on_read(error_code ec);
     void on_written(error_code ec, bool close_after_write);
     void serve_next();
+    // The connection has ended, although requests that came before may be left to read.
+    bool has_client_left();
     void reject_oversized(error_code ec);
     void close();
 
@@ -147,10 +152,20 @@
                       });
 }
 
+bool session::has_client_left() {
+    char next = 0;
+    const auto n = ::recv(m_socket.native_handle(), &next, 1, MSG_PEEK | MSG_DONTWAIT);
+    return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+}
+
 void session::serve_next() {
     if (m_pipelined.empty()) {
         return;
     }
+    if (has_client_left()) {
+        close(); // it may have sent the request again elsewhere
+        return;
+    }
     auto request = std::move(m_pipelined.front());
     m_pipelined.pop_front();
     m_is_busy = true;
--- a/source/unit_tests/reactor/http_test.cpp
+++ b/source/unit_tests/reactor/http_test.cpp
@@ -95,6 +95,38 @@
     EXPECT_TRUE(m_results.empty());
 }
 
+struct leaving_case {
+    const char* name;
+    bool resets;
+};
+
+class a_caller_that_has_left : public http, public testing::WithParamInterface<leaving_case> {};
+
+// A request was started although its caller had left, and had sent it again to another entry.
+TEST_P(a_caller_that_has_left, is_not_served) {
+    const int caller = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in to{};
+    to.sin_family = AF_INET;
+    to.sin_port = htons(address.port);
+    ::inet_pton(AF_INET, address.host.c_str(), &to.sin_addr);
+    ASSERT_EQ(::connect(caller, reinterpret_cast<sockaddr*>(&to), sizeof to), 0);
+    const std::string request = "GET /t HTTP/1.1\r\nHost: a\r\n\r\n";
+    ASSERT_EQ(::send(caller, request.data(), request.size(), 0),
+              static_cast<ssize_t>(request.size()));
+    if (GetParam().resets) {
+        const linger at_once{1, 0};
+        ::setsockopt(caller, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+    }
+    ::close(caller);
+    run_for(milliseconds(50));
+    EXPECT_TRUE(m_requests.empty());
+}
+
+INSTANTIATE_TEST_SUITE_P(all, a_caller_that_has_left,
+                         testing::Values(leaving_case{"closed", false},
+                                         leaving_case{"reset", true}),
+                         [](const auto& it) { return std::string(it.param.name); });
+
 TEST_F(http, matches_delayed_responses_to_requests) {
     m_replies_at_once = false;
     send("a");
