--- a/source/integration_tests/client_keys_test.cpp
+++ b/source/integration_tests/client_keys_test.cpp
@@ -74,5 +74,28 @@
     EXPECT_EQ(starts(), 2U);
 }
 
+stand_ins::cluster_plan short_lifetime() {
+    stand_ins::cluster_plan plan;
+    plan.domains = {{"zilina", 2, 2}};
+    plan.settings = {{"submissions.id_lifetime_ms", "1000"}};
+    return plan;
+}
+
+class client_keys_with_a_short_lifetime : public running_cluster {
+protected:
+    client_keys_with_a_short_lifetime() : running_cluster(short_lifetime()) {}
+};
+
+// The row of a key was deleted when its id's lifetime had passed, although the submission was still
+// open: the same job under the same key was run a second time beside the first.
+TEST_F(client_keys_with_a_short_lifetime, a_key_stands_for_an_open_submission) {
+    const auto job = make_job("long", 64, 900);
+    const auto first = submit_with_key(entry(0), "key-5", job, 100);
+    EXPECT_EQ(first.state, "running") << first.text;
+    std::this_thread::sleep_for(std::chrono::milliseconds(1800));
+    const auto second = submit_with_key(entry(0), "key-5", job);
+    EXPECT_LE(starts(), 64U) << second.text.substr(0, 200);
+}
+
 } // namespace
 } // namespace savorytrail::integration
--- a/source/unit_tests/fleet_view/view_test.cpp
+++ b/source/unit_tests/fleet_view/view_test.cpp
@@ -96,6 +96,26 @@
     EXPECT_EQ(m_view.dispatchers("d", 10, m_now), names{"self"});
 }
 
+// An entry that restarted before it was missed was never reported as lost, so that jobs of its
+// previous incarnation went on.
+TEST_F(entries, one_that_restarts_before_it_is_missed_is_reported_lost) {
+    receive(make_heartbeat("old", 1));
+    m_now += milliseconds(300);
+    auto again = make_heartbeat("old", 2);
+    again.status.sequence = 1;
+    m_view.receive(again, "10.0.0.9", m_now);
+    names lost;
+    for (int i = 0; i < 50; i++) {
+        again.status.sequence++;
+        m_view.receive(again, "10.0.0.9", m_now);
+        for (const auto& name : m_view.refresh(m_now)) {
+            lost.push_back(name);
+        }
+        m_now += milliseconds(100);
+    }
+    EXPECT_EQ(lost, names{"old"});
+}
+
 // What it says of the time before there was a link to it does not count.
 TEST_F(entries, one_that_does_not_receive_heartbeats_is_lost) {
     auto it = make_heartbeat("deaf", 1);
--- a/source/unit_tests/reactor/http_test.cpp
+++ b/source/unit_tests/reactor/http_test.cpp
@@ -1,5 +1,8 @@
 // Tests of the HTTP server and client against each other, and of the UDP socket, over loopback.
+#include <arpa/inet.h>
 #include <gtest/gtest.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "core/reactor/http_client.h"
 #include "core/reactor/http_server.h"
@@ -90,6 +93,30 @@
     EXPECT_TRUE(m_results.empty());
 }
 
+// A caller that had sent many requests ahead was not noticed to have left until its first one was
+// answered, as the server had stopped reading.
+TEST_F(http, notifies_the_server_when_a_caller_disconnects_that_sent_requests_ahead) {
+    m_replies_at_once = false;
+    bool is_disconnected = false;
+    const int caller = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in to{};
+    to.sin_family = AF_INET;
+    to.sin_port = htons(address.port);
+    ::inet_pton(AF_INET, address.host.c_str(), &to.sin_addr);
+    ASSERT_EQ(::connect(caller, reinterpret_cast<sockaddr*>(&to), sizeof to), 0);
+    for (int i = 0; i < 20; i++) {
+        const std::string request = "GET /t HTTP/1.1\r\nHost: a\r\n\r\n";
+        ASSERT_EQ(::send(caller, request.data(), request.size(), 0),
+                  static_cast<ssize_t>(request.size()));
+    }
+    m_loop.after(milliseconds(50), [&] {
+        m_answers.at(0)->on_disconnect([&] { is_disconnected = true; });
+        ::close(caller);
+    });
+    run_for(milliseconds(1000));
+    EXPECT_TRUE(is_disconnected);
+}
+
 TEST_F(http, matches_delayed_responses_to_requests) {
     m_replies_at_once = false;
     send("a");
