--- a/source/unit_tests/reactor/http_test.cpp
+++ b/source/unit_tests/reactor/http_test.cpp
@@ -42,6 +42,22 @@
         });
     }
 
+    // Connects and sends this many requests; returns the socket.
+    static int connect_and_send(int requests) {
+        const int caller = ::socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in to{};
+        to.sin_family = AF_INET;
+        to.sin_port = htons(address.port);
+        ::inet_pton(AF_INET, address.host.c_str(), &to.sin_addr);
+        EXPECT_EQ(::connect(caller, reinterpret_cast<sockaddr*>(&to), sizeof to), 0);
+        const std::string request = "GET /t HTTP/1.1\r\nHost: a\r\n\r\n";
+        for (int i = 0; i < requests; i++) {
+            EXPECT_EQ(::send(caller, request.data(), request.size(), 0),
+                      static_cast<ssize_t>(request.size()));
+        }
+        return caller;
+    }
+
     void run_for(milliseconds time) {
         m_loop.after(time, [this] { m_loop.stop(); });
         m_loop.run();
@@ -95,6 +111,20 @@
     EXPECT_TRUE(m_results.empty());
 }
 
+// A caller that had sent many requests ahead was not noticed to have left until its first one was
+// answered, as the server had stopped reading.
+TEST_F(http, notifies_the_server_when_a_caller_disconnects_that_sent_requests_ahead) {
+    m_replies_at_once = false;
+    bool is_disconnected = false;
+    const int caller = connect_and_send(20);
+    m_loop.after(milliseconds(50), [&] {
+        m_answers.at(0)->on_disconnect([&] { is_disconnected = true; });
+        ::close(caller);
+    });
+    run_for(milliseconds(1000));
+    EXPECT_TRUE(is_disconnected);
+}
+
 struct leaving_case {
     const char* name;
     bool resets;
@@ -104,15 +134,7 @@
 
 // A request was started although its caller had left, and had sent it again to another entry.
 TEST_P(a_caller_that_has_left, is_not_served) {
-    const int caller = ::socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in to{};
-    to.sin_family = AF_INET;
-    to.sin_port = htons(address.port);
-    ::inet_pton(AF_INET, address.host.c_str(), &to.sin_addr);
-    ASSERT_EQ(::connect(caller, reinterpret_cast<sockaddr*>(&to), sizeof to), 0);
-    const std::string request = "GET /t HTTP/1.1\r\nHost: a\r\n\r\n";
-    ASSERT_EQ(::send(caller, request.data(), request.size(), 0),
-              static_cast<ssize_t>(request.size()));
+    const int caller = connect_and_send(1);
     if (GetParam().resets) {
         const linger at_once{1, 0};
         ::setsockopt(caller, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
