--- a/source/unit_tests/cells/simulated_entry.h
+++ b/source/unit_tests/cells/simulated_entry.h
@@ -8,7 +8,7 @@
 #include "core/common/stall_detector.h"
 #include "core/fleet/assignment.h"
 #include "core/fleet/heartbeat_sender.h"
-#include "core/gateway/forwarding_http.h"
+#include "core/gateway/forwarding_service.h"
 #include "core/gateway/gateway.h"
 #include "unit_tests/cells/simulated_network.h"
 #include "unit_tests/cells/simulated_orders.h"
--- a/source/unit_tests/gateway/gateway_test.cpp
+++ b/source/unit_tests/gateway/gateway_test.cpp
@@ -5,7 +5,7 @@
 #include <gtest/gtest.h>
 
 #include "core/gateway/forwarding_codec.h"
-#include "core/gateway/forwarding_http.h"
+#include "core/gateway/forwarding_service.h"
 #include "unit_tests/cell/jobs.h"
 
 namespace savorytrail::gateway {
