--- a/source/unit_tests/cell/job_lease_test.cpp
+++ b/source/unit_tests/cell/job_lease_test.cpp
@@ -180,6 +180,7 @@
     m_cell.run_for(milliseconds(501));
     const auto& executors = m_cell.at(0).manager().executors();
     std::vector<std::int64_t> leases;
+    leases.reserve(executors.size());
     for (const auto& [id, it] : executors) {
         leases.push_back(it->lease_until);
     }
