--- /dev/null
+++ b/source/core/cell/cell_load.h
@@ -0,0 +1,27 @@
+// The load that a cell publishes to other entries, worked out from its executors.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "core/cell/executor_record.h"
+
+namespace savorytrail::cell {
+
+struct cell_load {
+    std::int64_t capacity_cpu_millis = 0; // of the executors that accept work
+    std::int64_t free_cpu_millis = 0;
+    // The part of it that typical tasks can use: what is free on an executor in whole tasks.
+    std::int64_t usable_cpu_millis = 0;
+    std::int64_t backlog_ms = 0; // time to work off the waiting tasks on all of them
+
+    bool operator==(const cell_load&) const = default;
+};
+
+// The load without the backlog. `typical_task_cpu_millis`: 0 before the first job.
+cell_load load_of(const std::map<std::string, std::unique_ptr<executor_record>>& executors,
+                  double typical_task_cpu_millis, common::time_point now);
+
+} // namespace savorytrail::cell
--- a/source/core/cell/dispatcher.cpp
+++ b/source/core/cell/dispatcher.cpp
@@ -3,28 +3,18 @@
 #include <algorithm>
 #include <cmath>
 
-#include "core/cell/placement.h"
-
 namespace savorytrail::cell {
 namespace {
 
 using common::milliseconds;
 using common::time_point;
 
-// Minimum retry delay sent to a caller whose job was refused or given up.
-constexpr milliseconds min_retry_after{1000};
 // Weight of the newest step in the average size of tasks.
 constexpr double task_size_weight = 0.05;
 // Time for the final answer to reach the caller before its patience ends.
 constexpr milliseconds answer_margin{80};
 constexpr const char* unrenewed = "its entry does not confirm that the caller still waits";
 
-milliseconds run_time_limit(const limits& by, const work::step& step, int lost_runs) {
-    const double factor = by.stuck_factor * static_cast<double>(1 << std::min(lost_runs, 4));
-    const auto estimate = static_cast<double>(std::max<std::int64_t>(step.estimate.count(), 1));
-    return milliseconds(static_cast<std::int64_t>(estimate * factor)) + by.stuck_grace;
-}
-
 } // namespace
 
 dispatcher::dispatcher(limits by, const common::clock& clock, executor_manager& manager,
@@ -95,7 +85,7 @@
         return ticket;
     }
     job_record record(m_durations.with_predicted_durations(job), job, m_limits, m_clock.now());
-    if (const auto refusal = check_admission(record)) {
+    if (const auto refusal = m_admission.refuse(record, view_for(record), m_clock.now())) {
         m_observer.job_event(job.id, "job_refused", refusal->reason);
         first.done(*refusal);
         return ticket;
@@ -125,36 +115,24 @@
 }
 
 double dispatcher::effective_capacity() const {
-    return m_capacity_meter.effective(static_cast<double>(load().capacity_cpu_millis));
+    const auto nominal =
+        load_of(m_executor_manager.executors(), m_typical_task_cpu_millis, m_clock.now());
+    return m_capacity_meter.effective(static_cast<double>(nominal.capacity_cpu_millis));
 }
 
-std::optional<work::outcome> dispatcher::check_admission(const job_record& candidate) {
-    const auto& job = candidate.job();
+admission_view dispatcher::view_for(const job_record& candidate) const {
     const auto now = m_clock.now();
-    const double capacity = effective_capacity();
-    if (capacity <= 0) {
-        return work::outcome{work::job_end::not_run, "no executor takes work", min_retry_after,
-                             true};
-    }
     const auto candidate_rank = rank_of(candidate, now);
-    double ahead = 0;
+    admission_view view;
+    view.capacity = effective_capacity();
     for (const auto& it : m_jobs) {
+        const double work = it.waiting_cpu_demand();
+        view.work_waiting += work;
         if (it.has_waiting() && rank_of(it, now) < candidate_rank) {
-            ahead += it.waiting_cpu_demand();
+            view.work_ahead += work;
         }
     }
-    const auto wait = milliseconds(static_cast<std::int64_t>(ahead / capacity));
-    const auto end = now + wait + job.critical_path_length();
-    if (end > candidate.late_until() || end > candidate.give_up_at()) {
-        return work::outcome{work::job_end::not_run, "the wait would be too long",
-                             std::max(min_retry_after, wait)};
-    }
-    const auto backlog = milliseconds(static_cast<std::int64_t>(waiting_cpu_demand() / capacity));
-    if (!m_fairness.admit(job.queue.name, job.cpu_demand(), capacity, backlog, now)) {
-        return work::outcome{work::job_end::not_run, "overload, and its queue had its share",
-                             min_retry_after};
-    }
-    return std::nullopt;
+    return view;
 }
 
 void dispatcher::abandon(std::uint64_t ticket) {
@@ -179,31 +157,22 @@
     for (const auto& task : job.tasks()) {
         if (task.state == task_state::active) {
             const auto id = job.id_of(task);
-            m_stopping_runs[id]++;
-            m_stopping_jobs.try_emplace(id.job, stopping_job{m_clock.now()}).first->second.runs++;
+            m_stopping_runs.add(id, m_clock.now());
             m_executor_manager.stop(task.executor, {id, task.last_run_number}, runs_end_by);
         }
     }
 }
 
-void dispatcher::note_stopped_run(const std::string& job, run_result result) {
-    const auto found = m_stopping_jobs.find(job);
-    if (found == m_stopping_jobs.end()) {
-        return;
-    }
-    auto& it = found->second;
-    const bool ended_by_itself = result == run_result::done || result == run_result::failed;
-    (ended_by_itself ? it.done : it.stopped)++;
-    if (--it.runs > 0) {
+void dispatcher::note_stopped_run(const work::task_id& task, run_result result) {
+    const auto it = m_stopping_runs.remove(task, result, m_clock.now());
+    if (!it) {
         return;
     }
-    const auto took = std::chrono::duration_cast<milliseconds>(m_clock.now() - it.closed_at);
-    m_observer.job_event(job, "runs_stopped",
-                         "after " + std::to_string(took.count()) + " ms, " +
-                             std::to_string(it.stopped) + " stopped, " + std::to_string(it.done) +
+    m_observer.job_event(task.job, "runs_stopped",
+                         "after " + std::to_string(it->took.count()) + " ms, " +
+                             std::to_string(it->stopped) + " stopped, " + std::to_string(it->done) +
                              " ended by themselves");
-    m_observer.runs_stopped(took);
-    m_stopping_jobs.erase(found);
+    m_observer.runs_stopped(it->took);
 }
 
 void dispatcher::close(job_list::iterator job, const work::outcome& outcome,
@@ -285,7 +254,7 @@
 
 void dispatcher::tick() {
     const auto now = m_clock.now();
-    const bool is_overloaded = m_fairness.is_overloaded(effective_capacity(), now);
+    const bool is_overloaded = m_admission.is_overloaded(effective_capacity(), now);
     bool has_waiting_tasks = false;
     for (auto it = m_jobs.begin(); it != m_jobs.end();) {
         const auto job = it++;
@@ -313,44 +282,6 @@
     }
 }
 
-bool dispatcher::has_stopping_run(const work::task_id& task) const {
-    return m_stopping_runs.contains(task);
-}
-
-bool dispatcher::start(job_record& job, task_record& task) {
-    const auto id = job.id_of(task);
-    if (has_stopping_run(id)) {
-        return false;
-    }
-    const auto& step = job.step_of(task);
-    placement_request request;
-    request.step = &step;
-    request.upstream = &job.job().queue.upstream;
-    request.avoid = &task.avoid;
-    request.tasks_on_executor = [&](const std::string& executor) {
-        return static_cast<int>(
-            std::count_if(job.tasks().begin(), job.tasks().end(), [&](const task_record& other) {
-                return other.step == task.step && other.state == task_state::active &&
-                       other.executor == executor;
-            }));
-    };
-    const auto* executor = place(request, m_executor_manager.executors(), m_clock.now());
-    if (executor == nullptr) {
-        return false;
-    }
-    task.last_run_number++;
-    task.executor = *executor;
-    const auto limit = run_time_limit(m_limits, step, task.lost_runs);
-    if (!m_executor_manager.start(*executor, {id, task.last_run_number}, step.task_resources, limit,
-                                  job.job().payload)) {
-        task.last_run_number--;
-        return false;
-    }
-    job.set_state(task, task_state::active);
-    job.note_start();
-    return true;
-}
-
 void dispatcher::note_starts(const job_record& job,
                              const std::vector<const task_record*>& started) {
     if (started.empty()) {
@@ -367,22 +298,6 @@
     m_observer.job_event(job.job().id, "tasks_started", executors);
 }
 
-void dispatcher::start_waiting_tasks(job_record& job) {
-    std::vector<const task_record*> started;
-    std::optional<int> full_step; // tasks of a step have equal requirements
-    for (auto& task : job.tasks()) {
-        if (task.state != task_state::waiting || task.step == full_step) {
-            continue;
-        }
-        if (start(job, task)) {
-            started.push_back(&task);
-        } else {
-            full_step = task.step;
-        }
-    }
-    note_starts(job, started);
-}
-
 void dispatcher::on_resources_freed() {
     if (m_is_dispatching) {
         return;
@@ -398,12 +313,13 @@
     std::stable_sort(order.begin(), order.end(),
                      [](const auto& a, const auto& b) { return a.first < b.first; });
     for (const auto& [job_rank, job] : order) {
-        start_waiting_tasks(*job);
+        note_starts(*job, m_starter.start_waiting_tasks(*job));
     }
     m_is_dispatching = false;
 }
 
-void dispatcher::on_run_duration(const work::run_key& run, milliseconds took) {
+void dispatcher::on_run_duration(const work::run_key& run, const work::executor_info& /*executor*/,
+                                 milliseconds took) {
     const auto job = find(run.task.job);
     if (job == m_jobs.end() || m_stopping_runs.contains(run.task)) {
         return;
@@ -417,11 +333,8 @@
 
 void dispatcher::on_run_ended(const work::run_key& run, const std::string& executor,
                               run_result result, work::order_status status) {
-    if (const auto stopping = m_stopping_runs.find(run.task); stopping != m_stopping_runs.end()) {
-        if (--stopping->second == 0) {
-            m_stopping_runs.erase(stopping);
-        }
-        note_stopped_run(run.task.job, result);
+    if (m_stopping_runs.contains(run.task)) {
+        note_stopped_run(run.task, result);
         return;
     }
     const auto job = find(run.task.job);
@@ -484,18 +397,7 @@
 }
 
 cell_load dispatcher::load() const {
-    cell_load sum;
-    const auto now = m_clock.now();
-    for (const auto& [id, it] : m_executor_manager.executors()) {
-        if (it->state == claim_state::held && !it->is_retiring && !it->info.is_draining &&
-            !it->is_unresponsive() && !it->health.is_quarantined(now)) {
-            sum.capacity_cpu_millis += it->info.capacity.cpu_millis;
-            const auto free = std::max<std::int64_t>(it->free().cpu_millis, 0);
-            const auto piece = std::max<std::int64_t>(std::llround(m_typical_task_cpu_millis), 1);
-            sum.free_cpu_millis += free;
-            sum.usable_cpu_millis += free / piece * piece;
-        }
-    }
+    auto sum = load_of(m_executor_manager.executors(), m_typical_task_cpu_millis, m_clock.now());
     if (sum.capacity_cpu_millis > 0) {
         sum.backlog_ms = static_cast<std::int64_t>(
             waiting_cpu_demand() /
--- a/source/core/cell/dispatcher.h
+++ b/source/core/cell/dispatcher.h
@@ -7,26 +7,18 @@
 #include <memory>
 
 #include "absl/container/flat_hash_map.h"
+#include "core/cell/admission.h"
 #include "core/cell/capacity_meter.h"
+#include "core/cell/cell_load.h"
 #include "core/cell/duration_model.h"
 #include "core/cell/executor_manager.h"
-#include "core/cell/fair_admission.h"
 #include "core/cell/job_record.h"
 #include "core/cell/ranking.h"
+#include "core/cell/stopping_runs.h"
+#include "core/cell/task_starter.h"
 
 namespace savorytrail::cell {
 
-// The load that a cell publishes to other entries.
-struct cell_load {
-    std::int64_t capacity_cpu_millis = 0; // of the executors that accept work
-    std::int64_t free_cpu_millis = 0;
-    // The part of it that typical tasks can use: what is free on an executor in whole tasks.
-    std::int64_t usable_cpu_millis = 0;
-    std::int64_t backlog_ms = 0; // time to work off the waiting tasks on all of them
-
-    bool operator==(const cell_load&) const = default;
-};
-
 class job_observer {
 public:
     virtual ~job_observer() = default;
@@ -72,7 +64,8 @@
     void on_run_ended(const work::run_key& run, const std::string& executor, run_result result,
                       work::order_status status) override;
     void on_suspended() override;
-    void on_run_duration(const work::run_key& run, common::milliseconds took) override;
+    void on_run_duration(const work::run_key& run, const work::executor_info& executor,
+                         common::milliseconds took) override;
     void on_resources_freed() override;
     common::time_point may_run_until(const work::run_key& run) const override;
 
@@ -89,8 +82,6 @@
     // A caller has one attempt at a time. So once a later attempt is known to be live, the earlier
     // ones have ended, even if nothing has shown so, and must not keep the job running.
     void remove_earlier_waiters(job_record& job, std::uint64_t ticket);
-    void start_waiting_tasks(job_record& job);
-    bool start(job_record& job, task_record& task);
     void note_starts(const job_record& job, const std::vector<const task_record*>& started);
     // Runs of the job end by `runs_end_by` at the latest.
     void close(job_list::iterator job, const work::outcome& outcome,
@@ -101,10 +92,9 @@
     void give_up(job_list::iterator job, const std::string& reason);
     work::outcome given_up_outcome(const job_record& job, const std::string& reason) const;
     void stop_runs(const job_record& job, common::time_point runs_end_by);
-    void note_stopped_run(const std::string& job, run_result result);
+    void note_stopped_run(const work::task_id& task, run_result result);
     void on_failure(job_list::iterator job, task_record& task);
-    bool has_stopping_run(const work::task_id& task) const;
-    std::optional<work::outcome> check_admission(const job_record& candidate);
+    admission_view view_for(const job_record& candidate) const;
     void note_task_sizes(const work::job& job);
     double waiting_cpu_demand() const;
     double effective_capacity() const;
@@ -115,18 +105,9 @@
     job_observer& m_observer;
     job_list m_jobs;
     absl::flat_hash_map<std::string, job_list::iterator> m_by_id;
-    // Number of runs of closed jobs that have not ended yet, by task. Until they end, the task must
-    // not be started again.
-    absl::flat_hash_map<work::task_id, int> m_stopping_runs;
-    // Closed jobs with such runs, by id.
-    struct stopping_job {
-        common::time_point closed_at; // the first time, if it was sent again and closed again
-        int runs = 0;                 // that have not ended yet
-        int stopped = 0;              // that have ended otherwise than by themselves
-        int done = 0;                 // that have ended by themselves
-    };
-    absl::flat_hash_map<std::string, stopping_job> m_stopping_jobs;
-    fair_admission m_fairness{fair_limits()};
+    stopping_runs m_stopping_runs;
+    task_starter m_starter{m_limits, m_clock, m_executor_manager, m_stopping_runs};
+    admission m_admission{fair_limits()};
     capacity_meter m_capacity_meter;
     duration_model m_durations;
     double m_typical_task_cpu_millis = 0; // of recent jobs; 0 before the first
--- a/source/core/cell/executor_manager.h
+++ b/source/core/cell/executor_manager.h
@@ -40,7 +40,8 @@
     // This VM was suspended or stalled: callers may have disconnected meanwhile.
     virtual void on_suspended() = 0;
     // A run succeeded after the given duration; called before on_run_ended().
-    virtual void on_run_duration(const work::run_key& run, common::milliseconds took) = 0;
+    virtual void on_run_duration(const work::run_key& run, const work::executor_info& executor,
+                                 common::milliseconds took) = 0;
     // Executors may have free resources again.
     virtual void on_resources_freed() = 0;
     // Until when a run that was not told to stop may go on, as far as is known now.
@@ -111,6 +112,8 @@
 private:
     using record_map = std::map<std::string, std::unique_ptr<executor_record>>;
 
+    static constexpr std::string_view higher_fence = "another entry has a higher fence";
+
     executor_record* find(const std::string& executor);
     void set_state(executor_record& it, claim_state state);
     void claim(executor_record& it);
--- /dev/null
+++ b/source/core/cell/executor_reports.cpp
@@ -0,0 +1,153 @@
+// The part of executor_manager that processes the reports of executors.
+#include <algorithm>
+
+#include "core/cell/executor_manager.h"
+
+namespace savorytrail::cell {
+
+using common::milliseconds;
+using work::order_status;
+
+void executor_manager::on_report(const std::string& executor, std::uint64_t number,
+                                 order_status status, const work::run_report& report) {
+    auto* it = find(executor);
+    if (it == nullptr) {
+        return;
+    }
+    const auto pending = std::find_if(it->pending_reports.begin(), it->pending_reports.end(),
+                                      [&](const auto& p) { return p.number == number; });
+    if (pending == it->pending_reports.end()) {
+        return;
+    }
+    const pending_report request = *pending;
+    it->pending_reports.erase(pending);
+    if (status != work::order_status::accepted) {
+        on_report_failure(*it, status);
+        return;
+    }
+    if (it->missed_reports > 0) {
+        m_observer.executor_changed(executor, "executor_answers",
+                                    "a report arrived after missed ones");
+    }
+    it->missed_reports = 0;
+    apply_report(*it, request, report);
+    request_next_report(*it);
+    m_listener->on_resources_freed();
+}
+
+void executor_manager::on_report_failure(executor_record& it, order_status status) {
+    const auto now = m_clock.now();
+    it.next_report_request =
+        now + (it.missed_reports == 0 ? milliseconds(0) : m_limits.unresponsive_retry);
+    switch (status) {
+    case work::order_status::fenced:
+        if (it.state == claim_state::claiming) {
+            it.fence = m_fences();
+            it.next_report_request = now + m_limits.unresponsive_retry;
+        } else {
+            lose_claim(it, higher_fence);
+        }
+        return;
+    case work::order_status::wrong_executor:
+        // The process that executed the runs has exited.
+        finish_all_runs(it, run_result::lost);
+        it.next_report_request = now + m_limits.unresponsive_retry;
+        it.missed_reports++;
+        return;
+    default:
+        break;
+    }
+    it.missed_reports++;
+    if (it.missed_reports == 1) {
+        m_observer.executor_changed(it.info.id, "executor_silent",
+                                    "a report did not arrive in time");
+        request_next_report(it);
+    }
+}
+
+void executor_manager::apply_report(executor_record& it, const pending_report& request,
+                                    const work::run_report& report) {
+    const auto now = m_clock.now();
+    if (report.start_time_ms != 0 && it.start_time_ms != 0 &&
+        report.start_time_ms != it.start_time_ms) {
+        m_observer.executor_changed(it.info.id, "executor_reborn", "the executor restarted");
+        it.clock.reset();
+        it.acknowledged = 0;
+        // Orders in flight may have reached the new process, with leases by the old clock; the
+        // executor grants them at most its longest lease.
+        it.lease_until = report.clock_ms + m_limits.longest_lease.count();
+    }
+    if (report.start_time_ms != 0) {
+        it.start_time_ms = report.start_time_ms;
+    }
+    it.is_grant_confirmed = it.is_grant_confirmed || request.sent_at >= it.granted_at;
+    it.clock.observe(report.clock_ms, now);
+    if (it.state == claim_state::claiming && it.is_adopted && !report.running.empty()) {
+        // Runs are still being renewed: the previous holder is alive, and will claim it back.
+        lose_claim(it, "it was taken for left, but is in use");
+        return;
+    }
+    apply_ended_runs(it, report);
+    apply_running_runs(it, request, report);
+    if (it.state == claim_state::claiming && it.foreign_runs.empty()) {
+        set_state(it, claim_state::held);
+        m_observer.executor_changed(it.info.id, "executor_held",
+                                    "no runs of other holders are left there");
+    }
+}
+
+void executor_manager::apply_ended_runs(executor_record& it, const work::run_report& report) {
+    for (const auto& end : report.ended) {
+        if (end.sequence <= it.acknowledged) {
+            continue;
+        }
+        it.acknowledged = end.sequence;
+        switch (end.kind) {
+        case work::run_end::done:
+            finish_run(it, end.run, run_result::done);
+            break;
+        case work::run_end::failed:
+            finish_run(it, end.run, run_result::failed);
+            break;
+        default:
+            finish_run(it, end.run, run_result::lost);
+            break;
+        }
+    }
+}
+
+void executor_manager::apply_running_runs(executor_record& it, const pending_report& request,
+                                          const work::run_report& report) {
+    const auto now = m_clock.now();
+    const std::set<work::run_key> running(report.running.begin(), report.running.end());
+    it.foreign_runs.clear();
+    for (const auto& key : running) {
+        if (const auto found = it.runs.find(key); found == it.runs.end()) {
+            it.foreign_runs.insert(key);
+        } else if (found->second.state == run_state::starting) {
+            found->second.state = run_state::running;
+            found->second.confirmed_at = now;
+        }
+    }
+    std::vector<work::run_key> vanished;
+    for (const auto& [key, run] : it.runs) {
+        if (running.contains(key)) {
+            continue;
+        }
+        const bool was_running =
+            run.state == run_state::running && run.confirmed_at < request.sent_at;
+        const bool was_stopped =
+            run.stop_acknowledged_at && *run.stop_acknowledged_at < request.sent_at;
+        if (was_running || was_stopped) {
+            vanished.push_back(key);
+        }
+    }
+    for (const auto& key : vanished) {
+        finish_run(it, key, run_result::lost);
+    }
+    for (const auto& key : it.foreign_runs) {
+        m_orders.stop(it.info, {key, it.fence});
+    }
+}
+
+} // namespace savorytrail::cell
--- a/source/core/cell/placement.cpp
+++ b/source/core/cell/placement.cpp
@@ -1,7 +1,6 @@
 #include "core/cell/placement.h"
 
 #include <memory>
-#include <tuple>
 
 namespace savorytrail::cell {
 namespace {
@@ -18,27 +17,30 @@
            request.tasks_on_executor(it.info.id) < step.max_per_executor;
 }
 
+placement_cost cost_on(const placement_request& request, const executor_record& it) {
+    placement_cost cost;
+    cost.is_avoided = it.info.id == *request.avoid;
+    cost.is_on_other_rack =
+        !request.step->preferred_rack.empty() && !it.info.has_label(request.step->preferred_rack);
+    cost.cpu_millis_left = it.free().cpu_millis - request.step->task_resources.cpu_millis;
+    return cost;
+}
+
 } // namespace
 
 const std::string* place(const placement_request& request,
                          const std::map<std::string, std::unique_ptr<executor_record>>& executors,
                          common::time_point now) {
-    using score = std::tuple<bool, bool, std::int64_t>;
     const std::string* best = nullptr;
-    score best_score;
+    placement_cost lowest;
     for (const auto& [id, record] : executors) {
         if (!can_run(request, *record) || !record->accepts_work(now)) {
             continue;
         }
-        const bool is_avoided = id == *request.avoid;
-        const bool is_on_other_rack = !request.step->preferred_rack.empty() &&
-                                      !record->info.has_label(request.step->preferred_rack);
-        const score candidate_score(is_avoided, is_on_other_rack,
-                                    record->free().cpu_millis -
-                                        request.step->task_resources.cpu_millis);
-        if (best == nullptr || candidate_score < best_score) {
+        const auto cost = cost_on(request, *record);
+        if (best == nullptr || cost < lowest) {
             best = &id;
-            best_score = candidate_score;
+            lowest = cost;
         }
     }
     return best;
--- a/source/core/cell/placement.h
+++ b/source/core/cell/placement.h
@@ -2,6 +2,7 @@
 // fit: the executor with the least CPU left, so that large tasks still fit elsewhere.
 #pragma once
 
+#include <compare>
 #include <functional>
 #include <map>
 #include <memory>
@@ -20,6 +21,15 @@
         tasks_on_executor; // active tasks of the step there, for its max_per_executor
 };
 
+// What speaks against an executor, the weightiest first: the lowest cost is chosen.
+struct placement_cost {
+    bool is_avoided = false;
+    bool is_on_other_rack = false;
+    std::int64_t cpu_millis_left = 0; // after the task has started
+
+    auto operator<=>(const placement_cost&) const = default;
+};
+
 // Returns the executor's id, or nullptr if no executor can take the task now.
 const std::string* place(const placement_request& request,
                          const std::map<std::string, std::unique_ptr<executor_record>>& executors,
--- a/source/core/fleet/heartbeat.cpp
+++ b/source/core/fleet/heartbeat.cpp
@@ -1,5 +1,8 @@
 #include "core/fleet/heartbeat.h"
 
+#include <algorithm>
+#include <cmath>
+
 #include "core/common/rendezvous.h"
 #include "fleet.pb.h"
 
@@ -72,6 +75,55 @@
     return it;
 }
 
+// Logarithms travel in thousandths.
+constexpr double log_scale = 1000;
+// A factor of e^20 is no speed or slowdown; the bound keeps the number in the field's range.
+constexpr double max_log = 20;
+
+std::int32_t to_thousandths(double log) {
+    const double bounded = std::isfinite(log) ? std::clamp(log, -max_log, max_log) : 0;
+    return static_cast<std::int32_t>(std::lround(bounded * log_scale));
+}
+
+void to_message(const shared_state& it, schema::entry_heartbeat& message) {
+    message.set_drains_version(it.drains.version);
+    for (const auto& domain : it.drains.domains) {
+        auto* item = message.add_drained();
+        item->set_name(domain.name);
+        item->set_known_for_ms(to_message(domain.known_for));
+    }
+    for (const auto& speed : it.kind_speeds) {
+        auto* item = message.add_kind_speeds();
+        item->set_kind(speed.kind);
+        item->set_log_speed_thousandths(to_thousandths(speed.log_speed));
+        item->set_weight(speed.weight);
+    }
+    for (const auto& pair : it.interference) {
+        auto* item = message.add_interference();
+        item->set_kind(pair.kind);
+        item->set_neighbour(pair.neighbour);
+        item->set_log_slowdown_thousandths(to_thousandths(pair.log_slowdown));
+        item->set_weight(pair.weight);
+    }
+}
+
+shared_state shared_from(const schema::entry_heartbeat& message) {
+    shared_state it;
+    it.drains.version = message.drains_version();
+    for (const auto& item : message.drained()) {
+        it.drains.domains.push_back({item.name(), milliseconds(item.known_for_ms())});
+    }
+    for (const auto& item : message.kind_speeds()) {
+        it.kind_speeds.push_back(
+            {item.kind(), item.log_speed_thousandths() / log_scale, item.weight()});
+    }
+    for (const auto& item : message.interference()) {
+        it.interference.push_back({item.kind(), item.neighbour(),
+                                   item.log_slowdown_thousandths() / log_scale, item.weight()});
+    }
+    return it;
+}
+
 } // namespace
 
 std::uint64_t entry_key(const entry_identity& it) {
@@ -103,6 +155,7 @@
         to_message(news.status, *item->mutable_status());
         item->set_age_ms(to_message(news.age));
     }
+    to_message(it.shared, message);
     return message.SerializeAsString();
 }
 
@@ -123,6 +176,7 @@
     for (const auto& news : message.news()) {
         it.news.push_back(from_message(news));
     }
+    it.shared = shared_from(message);
     return it;
 }
 
--- a/source/core/fleet/heartbeat.h
+++ b/source/core/fleet/heartbeat.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "core/fleet/entry_state.h"
+#include "core/fleet/shared_state.h"
 
 namespace savorytrail::fleet {
 
@@ -32,6 +33,7 @@
     // Interval at which the sender wants heartbeats of the recipient; zero for none.
     common::milliseconds wanted_interval{0};
     std::vector<entry_news> news;
+    shared_state shared;
 
     bool operator==(const heartbeat&) const = default;
 };
--- a/source/core/fleet/heartbeat_sender.cpp
+++ b/source/core/fleet/heartbeat_sender.cpp
@@ -119,6 +119,7 @@
     heartbeat it;
     it.sender = m_fleet.self();
     it.status = m_fleet.status();
+    it.shared = m_fleet.shared();
     it.status.sequence = m_fleet.next_sequence();
     it.wanted_interval = interval_of(link_kind::loose); // of probes
     return it;
--- a/source/core/fleet/view.h
+++ b/source/core/fleet/view.h
@@ -135,6 +135,9 @@
     void set_leaving();
     // What this entry tells of itself, but for `sequence` and `is_leaving`.
     void set_status(entry_status it);
+    // What this entry shares beside its status.
+    void set_shared(shared_state it) { m_shared = std::move(it); }
+    const shared_state& shared() const { return m_shared; }
     const entry_identity& self() const { return m_self; }
     std::uint64_t self_key() const { return m_self_key; }
     const entry_status& status() const { return m_status; }
@@ -190,6 +193,7 @@
     const entry_identity m_self;
     const std::uint64_t m_self_key; // entry_key()
     entry_status m_status;
+    shared_state m_shared;
     const std::uint16_t m_port;
     const view_limits m_limits;
     const common::time_point m_started;
--- a/source/core/gateway/forwarding_codec.cpp
+++ b/source/core/gateway/forwarding_codec.cpp
@@ -19,6 +19,7 @@
     out->set_required_label(it.required_label);
     out->set_preferred_rack(it.preferred_rack);
     out->set_max_per_executor(it.max_per_executor);
+    out->set_image(it.image);
 }
 
 work::step decode_step(const schema::passed_step& it) {
@@ -30,6 +31,7 @@
     step.required_label = it.required_label();
     step.preferred_rack = it.preferred_rack();
     step.max_per_executor = it.max_per_executor();
+    step.image = it.image();
     return step;
 }
 
--- a/source/core/work/job.h
+++ b/source/core/work/job.h
@@ -23,6 +23,7 @@
     std::string required_label;       // an executor must have it; empty: any
     std::string preferred_rack;       // where its data is; elsewhere it takes longer; empty: none
     int max_per_executor = 0;         // 0: no limit
+    std::string image;                // what the tasks run; tasks of one image behave alike
 
     bool operator==(const step&) const = default;
 };
--- a/source/unit_tests/gateway/gateway_test.cpp
+++ b/source/unit_tests/gateway/gateway_test.cpp
@@ -456,6 +456,7 @@
     it.job.steps[0].required_label = "fast";
     it.job.steps[0].preferred_rack = "r1";
     it.job.steps[0].max_per_executor = 2;
+    it.job.steps[0].image = "resize";
     it.job.steps.push_back(it.job.steps[0]);
     it.job.steps[1].depends_on = {0};
     EXPECT_EQ(decode_job(encode(it)), it);
