--- a/source/core/gateway/forwarding_codec.cpp
+++ b/source/core/gateway/forwarding_codec.cpp
@@ -1,5 +1,7 @@
 #include "core/gateway/forwarding_codec.h"
 
+#include <algorithm>
+
 #include "fleet.pb.h"
 
 namespace savorytrail::gateway {
@@ -26,7 +28,7 @@
     work::step step;
     step.tasks = it.tasks();
     step.task_resources = {it.cpu_millis(), it.memory_mb(), it.accelerators()};
-    step.estimate = milliseconds(it.estimate_ms());
+    step.estimate = std::min(milliseconds(it.estimate_ms()), work::max_duration);
     step.depends_on.assign(it.after().begin(), it.after().end());
     step.required_label = it.required_label();
     step.preferred_rack = it.preferred_rack();
@@ -74,10 +76,14 @@
     for (const auto& step : message.steps()) {
         it.job.steps.push_back(decode_step(step));
     }
+    if (!work::find_defect(it.job).empty()) {
+        return std::nullopt;
+    }
     it.job.queue = {message.queue(),        message.upstream(), message.priority(),
                     message.max_attempts(), message.stretch(),  milliseconds(message.target_ms())};
-    it.job.patience = milliseconds(message.patience_ms());
-    it.job.waited = milliseconds(message.waited_ms());
+    it.job.patience = std::min(milliseconds(message.patience_ms()), work::max_duration);
+    it.job.waited =
+        std::clamp(milliseconds(message.waited_ms()), milliseconds(0), work::max_duration);
     it.from = message.from();
     it.number = message.number();
     it.from_incarnation = message.from_incarnation();
--- a/source/core/work/job.cpp
+++ b/source/core/work/job.cpp
@@ -3,6 +3,40 @@
 #include <algorithm>
 
 namespace savorytrail::work {
+namespace {
+
+bool asks_for_less_than_nothing(const step& it) {
+    return it.task_resources.cpu_millis < 0 || it.task_resources.memory_mb < 0 ||
+           it.task_resources.accelerators < 0 || it.estimate.count() < 0;
+}
+
+bool follows_earlier_steps_only(const step& it, int index) {
+    return std::all_of(it.depends_on.begin(), it.depends_on.end(),
+                       [index](int earlier) { return earlier >= 0 && earlier < index; });
+}
+
+} // namespace
+
+std::string_view find_defect(const job& it) {
+    if (it.steps.empty()) {
+        return "the job has no steps";
+    }
+    int tasks = 0;
+    for (int index = 0; index < static_cast<int>(it.steps.size()); index++) {
+        const auto& step = it.steps[index];
+        if (step.tasks < 1 || step.tasks > max_tasks_of_job - tasks) {
+            return "the number of tasks is out of range";
+        }
+        tasks += step.tasks;
+        if (asks_for_less_than_nothing(step)) {
+            return "a step asks for less than nothing";
+        }
+        if (!follows_earlier_steps_only(step, index)) {
+            return "a step comes after one that is not earlier";
+        }
+    }
+    return "";
+}
 
 int job::tasks() const {
     int n = 0;
--- a/source/core/work/job.h
+++ b/source/core/work/job.h
@@ -59,6 +59,14 @@
     double cpu_demand() const;
 };
 
+// A longer estimate or wait says no more than this one, and would overflow times that are added up.
+constexpr common::milliseconds max_duration = std::chrono::hours(24);
+// Bounds the memory of a job: each task has a record in its dispatcher.
+constexpr int max_tasks_of_job = 100000;
+
+// What makes the job impossible to run, for its sender; empty if nothing does.
+std::string_view find_defect(const job& it);
+
 enum class job_end {
     succeeded, // every task succeeded
     failed,    // a task failed as many times as its queue allows attempts
--- a/source/unit_tests/gateway/gateway_test.cpp
+++ b/source/unit_tests/gateway/gateway_test.cpp
@@ -450,6 +450,22 @@
     EXPECT_EQ(m_client.sent[0].message.from_incarnation, 1U);
 }
 
+// A defective job of a peer must be rejected: a step after a missing one reads beyond the steps,
+// and a job without tasks never ends.
+TEST(forwarding_codec, rejects_jobs_that_cannot_run) {
+    const passed_job valid{cell::make_job("a", 3, milliseconds(70)), "entry-1", 7, 1000, {}};
+    ASSERT_TRUE(decode_job(encode(valid)));
+    auto it = valid;
+    it.job.steps[0].depends_on = {4};
+    EXPECT_FALSE(decode_job(encode(it)));
+    it = valid;
+    it.job.steps[0].tasks = 0;
+    EXPECT_FALSE(decode_job(encode(it)));
+    it = valid;
+    it.job.steps[0].tasks = 2000000000;
+    EXPECT_FALSE(decode_job(encode(it)));
+}
+
 TEST(forwarding_codec, keeps_all_fields_of_a_job) {
     passed_job it{cell::make_job("a", 3, milliseconds(70)), "entry-1", 7, 1000,
                   lease_stamp{2000, milliseconds(30)}};
--- a/source/unit_tests/platform_adapter/codec_test.cpp
+++ b/source/unit_tests/platform_adapter/codec_test.cpp
@@ -37,6 +37,9 @@
         reply_case{"late", 409, R"({"clockMs":5,"reason":"late"})", order_status::lease_expired, 5},
         reply_case{"room", 409, R"({"clockMs":5,"reason":"room"})",
                    order_status::insufficient_resources, 5},
+        // A field of another type must not end the process by an exception.
+        reply_case{"reason_of_another_type", 409, R"({"clockMs":5,"reason":{"why":[7]}})",
+                   order_status::malformed, 5},
         reply_case{"no_ticket", 409, R"({"reason":"ticket"})", order_status::malformed,
                    std::nullopt},
         reply_case{"wrong_executor", 421, "", order_status::wrong_executor, std::nullopt},
@@ -203,11 +206,25 @@
         body_case{"no_tasks", R"({"steps":[{"count":0}],"bestEffort":true})", false, true},
         body_case{"later_step", R"({"steps":[{"count":1,"after":[0]}],"bestEffort":true})", false,
                   true},
+        // A small body must not make the dispatcher allocate records without bound.
+        body_case{"too_many_tasks_in_all",
+                  R"({"steps":[{"count":60000},{"count":60000}],"bestEffort":true})", false, true},
+        body_case{"absurd_estimate",
+                  R"({"steps":[{"count":1,"estimateMs":1000000000000000}],"bestEffort":true})",
+                  true, false},
         body_case{"wrong_type", R"({"steps":[{"count":"x"}],"bestEffort":true})", false, true},
         body_case{"negative", R"({"steps":[{"count":1,"cpu":-5}],"bestEffort":true})", false, true},
         body_case{"no_json", "steps", false, true}),
     [](const auto& it) { return it.param.name; });
 
+// Times that are added to the clock overflowed, so that the job counted as too late on arrival.
+TEST(job_bodies, bound_an_absurd_estimate) {
+    const auto it = decode_job_body(
+        "5c0e7a21d94b36f8",
+        R"({"steps":[{"count":1,"estimateMs":1000000000000000}],"bestEffort":true})", {});
+    EXPECT_EQ(std::get<work::job>(it).steps[0].estimate, work::max_duration);
+}
+
 TEST(answers, give_the_outcome_of_a_job) {
     using work::job_end;
     EXPECT_EQ(encode_answer({job_end::succeeded, "", {}}).body, R"({"state":"succeeded"})");
