fleet: listed executors carry for how long they remain slow after a start

Cause: an executor that has just started is slow for a while, and its row says for how long. Change: executor_info::cold_left, passed on with the list of executors. It is rounded up to seconds, so that a list does not change with every heartbeat of a slow executor.

--- a/source/core/fleet/executor_list_codec.cpp
+++ b/source/core/fleet/executor_list_codec.cpp
@@ -24,6 +24,7 @@
         }
         executor->set_is_draining(info.is_draining);
         executor->set_start_time_ms(info.start_time_ms);
+        executor->set_cold_left_ms(static_cast<std::uint32_t>(info.cold_left.count()));
         executor->set_is_dropped(listed.is_dropped);
         executor->set_version(listed.version);
     }
@@ -48,6 +49,7 @@
         info.labels.assign(executor.labels().begin(), executor.labels().end());
         info.is_draining = executor.is_draining();
         info.start_time_ms = executor.start_time_ms();
+        info.cold_left = common::milliseconds(executor.cold_left_ms());
         it.executors.push_back({std::move(info), executor.is_dropped(), executor.version()});
     }
     return it;
--- a/source/core/work/executor.h
+++ b/source/core/work/executor.h
@@ -22,6 +22,9 @@
     std::vector<std::string> labels; // its kind and its rack
     bool is_draining = false;        // takes no new work
     std::int64_t start_time_ms = 0;  // Unix milliseconds of its start
+    // How long it remains slow after its start, in whole seconds when it was listed; 0: not slow.
+    // Rounded up, so that the listed executors do not change with every heartbeat of a slow one.
+    common::milliseconds cold_left{0};
 
     bool operator==(const executor_info&) const = default;
 
--- a/source/unit_tests/fleet_view/executor_list_test.cpp
+++ b/source/unit_tests/fleet_view/executor_list_test.cpp
@@ -122,6 +122,7 @@
     info.capacity = {64000, 128, 1};
     info.labels = {"kind", "rack"};
     info.start_time_ms = 5;
+    info.cold_left = milliseconds(3000);
     const executor_changes it{9, true, {{info, false, 8}, {make("b"), true, 9}}};
     EXPECT_EQ(decode_executor_changes(encode(it)), it);
     EXPECT_FALSE(decode_executor_changes("\x01\x02"));
