cell: no job begins in a drained failure domain; cold executors come last

Cause: an operator drains a failure domain, and takes it back with executors that are slow at first. Change: an executor of a drained domain gets only tasks of jobs that have begun there, for a grace time. What has not begun is answered not_run with lacked_executors when the cell has no executor of another domain; what may have run is given up once its runs have ended. An unanswered start is stopped instead of resent there. Nothing starts, and no load is published, before the drains are known. A cell without capacity by a drain no longer counts as overloaded, which stopped late jobs. Cold executors are chosen after warm ones, run one task at a time and count for one task.

--- a/source/core/cell/cell_load.cpp
+++ b/source/core/cell/cell_load.cpp
@@ -8,7 +8,7 @@
 
 bool counts_as_capacity(const executor_record& it, common::time_point now) {
     return it.state == claim_state::held && !it.is_retiring && !it.info.is_draining &&
-           !it.is_unresponsive() && !it.health.is_quarantined(now);
+           !it.is_drained && !it.is_unresponsive() && !it.health.is_quarantined(now);
 }
 
 } // namespace
@@ -21,6 +21,14 @@
         if (!counts_as_capacity(*it, now)) {
             continue;
         }
+        if (typical_task_cpu_millis > 0 && it->is_cold(now)) {
+            const auto task = std::min(piece, it->info.capacity.cpu_millis);
+            const auto free = it->runs.empty() ? task : 0;
+            sum.capacity_cpu_millis += task;
+            sum.free_cpu_millis += free;
+            sum.usable_cpu_millis += free;
+            continue;
+        }
         sum.capacity_cpu_millis += it->info.capacity.cpu_millis;
         const auto free = std::max<std::int64_t>(it->free().cpu_millis, 0);
         sum.free_cpu_millis += free;
--- a/source/core/cell/dispatcher.cpp
+++ b/source/core/cell/dispatcher.cpp
@@ -207,6 +207,20 @@
     close(job, given_up_outcome(*job, reason));
 }
 
+bool dispatcher::leave_drained(job_list::iterator job) {
+    const bool is_running =
+        std::any_of(job->tasks().begin(), job->tasks().end(),
+                    [](const task_record& it) { return it.state == task_state::active; });
+    // A run may be the last that its job needs, or end within the grace.
+    if (is_running || !job->has_waiting() || m_starter.may_start_later(*job)) {
+        return false;
+    }
+    auto outcome = given_up_outcome(*job, "its failure domain is drained");
+    outcome.lacked_executors = outcome.end == work::job_end::not_run;
+    close(job, outcome);
+    return true;
+}
+
 void dispatcher::remove_earlier_waiters(job_record& job, std::uint64_t ticket) {
     std::vector<waiter> removed;
     std::erase_if(job.waiters, [&](waiter& it) {
@@ -254,11 +268,13 @@
 
 void dispatcher::tick() {
     const auto now = m_clock.now();
-    const bool is_overloaded = m_admission.is_overloaded(effective_capacity(), now);
+    const bool is_drained = m_executor_manager.are_all_drained();
+    // A drained cell has no capacity, but what runs there ends by itself.
+    const bool is_overloaded = !is_drained && m_admission.is_overloaded(effective_capacity(), now);
     bool has_waiting_tasks = false;
     for (auto it = m_jobs.begin(); it != m_jobs.end();) {
         const auto job = it++;
-        if (remove_unrenewed_waiters(job, now)) {
+        if (remove_unrenewed_waiters(job, now) || (is_drained && leave_drained(job))) {
             continue;
         }
         has_waiting_tasks = has_waiting_tasks || job->has_waiting();
--- a/source/core/cell/dispatcher.h
+++ b/source/core/cell/dispatcher.h
@@ -90,6 +90,9 @@
     // By when the runs of a job that is closed now must have ended.
     common::time_point end_of_runs(const job_record& job) const;
     void give_up(job_list::iterator job, const std::string& reason);
+    // Closes a job whose waiting tasks can't start here, as all executors are in drained domains.
+    // Returns whether it was closed.
+    bool leave_drained(job_list::iterator job);
     work::outcome given_up_outcome(const job_record& job, const std::string& reason) const;
     void stop_runs(const job_record& job, common::time_point runs_end_by);
     void note_stopped_run(const work::task_id& task, run_result result);
--- a/source/core/cell/executor_manager.cpp
+++ b/source/core/cell/executor_manager.cpp
@@ -40,14 +40,22 @@
         if (!slot) {
             slot = std::make_unique<executor_record>(info, m_limits, m_fences());
             slot->is_adopted = adopted.contains(info.id);
+            slot->cold_until = m_clock.now() + info.cold_left;
+            apply_drains(*slot);
             claim(*slot);
             continue;
         }
         if (slot->info.address != info.address) {
             m_orders.forget(slot->info);
         }
+        const bool is_known = slot->info.cold_left == info.cold_left &&
+                              slot->info.start_time_ms == info.start_time_ms;
+        if (!is_known) {
+            slot->cold_until = m_clock.now() + info.cold_left;
+        }
         slot->info = info;
         slot->is_retiring = false;
+        apply_drains(*slot);
         slot->is_adopted = adopted.contains(info.id);
     }
     for (auto& [id, record] : m_executors) {
@@ -58,6 +66,39 @@
     m_listener->on_resources_freed();
 }
 
+void executor_manager::apply_drains(executor_record& it) const {
+    if (m_drains == nullptr) {
+        return;
+    }
+    const auto grace_until = m_drains->grace_until(it.info.failure_domain);
+    it.is_drained = grace_until || !m_drains->is_known();
+    it.drain_grace_until = grace_until.value_or(common::time_point::min());
+}
+
+void executor_manager::on_drains_changed() {
+    for (auto& [id, record] : m_executors) {
+        apply_drains(*record);
+    }
+    m_listener->on_resources_freed();
+}
+
+bool executor_manager::are_all_drained() const {
+    const auto is_drained = [](const auto& it) { return it.second->is_drained; };
+    const auto is_unused = [](const auto& it) {
+        return it.second->is_drained || !it.second->is_kept();
+    };
+    return std::any_of(m_executors.begin(), m_executors.end(), is_drained) &&
+           std::all_of(m_executors.begin(), m_executors.end(), is_unused);
+}
+
+std::size_t executor_manager::drained_runs() const {
+    std::size_t sum = 0;
+    for (const auto& [id, it] : m_executors) {
+        sum += it->is_drained ? it->runs.size() : 0;
+    }
+    return sum;
+}
+
 std::vector<std::string> executor_manager::held() const {
     std::vector<std::string> list;
     for (const auto& [id, record] : m_executors) {
@@ -324,7 +365,8 @@
         return;
     case order_status::no_answer:
         if (record.state == run_state::starting && is_only_copy && !it->is_unresponsive() &&
-            !was_suspended() && !m_stalls.is_catching_up() && it->state == claim_state::held) {
+            !was_suspended() && !m_stalls.is_catching_up() && it->state == claim_state::held &&
+            !it->is_drained) {
             resend_start(*it, run, record);
         } else if (record.state == run_state::starting) {
             send_stop(*it, run, record);
--- a/source/core/cell/executor_manager.h
+++ b/source/core/cell/executor_manager.h
@@ -21,6 +21,7 @@
 #include "core/cell/orders.h"
 #include "core/common/error.h"
 #include "core/common/stall_detector.h"
+#include "core/fleet/drained_domains.h"
 
 namespace savorytrail::cell {
 
@@ -76,6 +77,14 @@
     executor_manager& operator=(const executor_manager&) = delete;
 
     void set_listener(run_listener* listener) { m_listener = listener; }
+    // Nothing starts before it is known which failure domains are drained.
+    void set_drains(const fleet::drained_domains& drains) { m_drains = &drains; }
+    // To be called after each change of the drained domains.
+    void on_drains_changed();
+    // Whether all executors that it keeps are in drained domains.
+    bool are_all_drained() const;
+    // Runs on executors of drained domains.
+    std::size_t drained_runs() const;
 
     // Sets the executors that this entry is to hold; `adopted` are those among them that their
     // holders are assumed to have abandoned. Other executors are released when their runs end.
@@ -115,6 +124,7 @@
     static constexpr std::string_view higher_fence = "another entry has a higher fence";
 
     executor_record* find(const std::string& executor);
+    void apply_drains(executor_record& it) const;
     void set_state(executor_record& it, claim_state state);
     void claim(executor_record& it);
     void lose_claim(executor_record& it, std::string_view reason);
@@ -152,6 +162,7 @@
     const fence_source m_fences;
     executor_observer& m_observer;
     run_listener* m_listener = nullptr;
+    const fleet::drained_domains* m_drains = nullptr; // null: none ever is
     record_map m_executors;
     std::uint64_t m_claims_version = 1;
     std::uint64_t m_next_report = 1;
--- a/source/core/cell/executor_record.h
+++ b/source/core/cell/executor_record.h
@@ -58,8 +58,11 @@
     common::milliseconds min_lease_of_start; // nothing starts on a lease that must end sooner
     claim_state state = claim_state::claiming;
     bool is_retiring = false; // gets no new runs; released when its runs have ended
-    bool is_adopted = false;  // claimed on the assumption that its holder has abandoned it
-    int times_lost = 0;       // claims lost in a row, each soon after the last
+    bool is_drained = false;  // as is its failure domain: takes no job that has not begun
+    common::time_point drain_grace_until; // until when jobs that have begun may start tasks there
+    common::time_point cold_until;        // until when it is slow after a start
+    bool is_adopted = false; // claimed on the assumption that its holder has abandoned it
+    int times_lost = 0;      // claims lost in a row, each soon after the last
     executor_clock clock;
     std::int64_t start_time_ms = 0; // of the executor process that sent the latest report
     std::int64_t acknowledged = 0;  // sequence number of the latest ended run that was processed
@@ -79,6 +82,13 @@
     int missed_reports = 0;                       // in a row
 
     work::resources free() const { return info.capacity - used; }
+    bool is_cold(common::time_point now) const { return now < cold_until; }
+    // Whether this entry is to use it on.
+    bool is_kept() const { return !is_retiring && state != claim_state::lost; }
+    // Whether jobs that have begun in its drained failure domain may still start tasks there.
+    bool is_in_drain_grace(common::time_point now) const {
+        return is_drained && now < drain_grace_until;
+    }
     // While reports are missing, no lease is renewed and nothing is started.
     bool is_unresponsive() const { return missed_reports > 0; }
     bool has_overdue_run(common::time_point now) const {
--- a/source/core/cell/placement.cpp
+++ b/source/core/cell/placement.cpp
@@ -5,11 +5,18 @@
 namespace savorytrail::cell {
 namespace {
 
-bool can_run(const placement_request& request, const executor_record& it) {
+bool can_run(const placement_request& request, const executor_record& it, common::time_point now) {
     const auto& step = *request.step;
     if (it.info.upstream != *request.upstream || !it.free().covers(step.task_resources)) {
         return false;
     }
+    if (it.is_drained &&
+        !(it.is_in_drain_grace(now) && request.has_begun_in(it.info.failure_domain))) {
+        return false;
+    }
+    if (it.is_cold(now) && !it.runs.empty()) {
+        return false; // a cold executor runs one task at a time
+    }
     if (!step.required_label.empty() && !it.info.has_label(step.required_label)) {
         return false;
     }
@@ -17,11 +24,14 @@
            request.tasks_on_executor(it.info.id) < step.max_per_executor;
 }
 
-placement_cost cost_on(const placement_request& request, const executor_record& it) {
+placement_cost cost_on(const placement_request& request, const executor_record& it,
+                       common::time_point now) {
     placement_cost cost;
+    cost.is_drained = it.is_drained;
     cost.is_avoided = it.info.id == *request.avoid;
     cost.is_on_other_rack =
         !request.step->preferred_rack.empty() && !it.info.has_label(request.step->preferred_rack);
+    cost.is_cold = it.is_cold(now);
     cost.cpu_millis_left = it.free().cpu_millis - request.step->task_resources.cpu_millis;
     return cost;
 }
@@ -34,10 +44,10 @@
     const std::string* best = nullptr;
     placement_cost lowest;
     for (const auto& [id, record] : executors) {
-        if (!can_run(request, *record) || !record->accepts_work(now)) {
+        if (!can_run(request, *record, now) || !record->accepts_work(now)) {
             continue;
         }
-        const auto cost = cost_on(request, *record);
+        const auto cost = cost_on(request, *record, now);
         if (best == nullptr || cost < lowest) {
             best = &id;
             lowest = cost;
--- a/source/core/cell/placement.h
+++ b/source/core/cell/placement.h
@@ -19,12 +19,15 @@
     const std::string* avoid = nullptr; // chosen only if no other executor fits
     std::function<int(const std::string& executor)>
         tasks_on_executor; // active tasks of the step there, for its max_per_executor
+    std::function<bool(const std::string& failure_domain)> has_begun_in; // the task's job
 };
 
 // What speaks against an executor, the weightiest first: the lowest cost is chosen.
 struct placement_cost {
+    bool is_drained = false; // as is its failure domain
     bool is_avoided = false;
     bool is_on_other_rack = false;
+    bool is_cold = false;             // slow after its start
     std::int64_t cpu_millis_left = 0; // after the task has started
 
     auto operator<=>(const placement_cost&) const = default;
--- a/source/core/cell/task_starter.cpp
+++ b/source/core/cell/task_starter.cpp
@@ -21,6 +21,7 @@
     request.step = &job.step_of(task);
     request.upstream = &job.job().queue.upstream;
     request.avoid = &task.avoid;
+    request.has_begun_in = [&](const std::string& domain) { return has_begun_in(job, domain); };
     request.tasks_on_executor = [&](const std::string& executor) {
         return static_cast<int>(
             std::count_if(job.tasks().begin(), job.tasks().end(), [&](const task_record& other) {
@@ -53,6 +54,27 @@
     return true;
 }
 
+bool task_starter::has_begun_in(const job_record& job, const std::string& domain) const {
+    const auto& executors = m_executor_manager.executors();
+    return std::any_of(job.tasks().begin(), job.tasks().end(), [&](const task_record& it) {
+        if (it.state != task_state::active && it.state != task_state::done) {
+            return false;
+        }
+        const auto at = executors.find(it.executor);
+        return at != executors.end() && at->second->info.failure_domain == domain;
+    });
+}
+
+bool task_starter::may_start_later(const job_record& job) const {
+    const auto& executors = m_executor_manager.executors();
+    return std::any_of(executors.begin(), executors.end(), [&](const auto& it) {
+        const auto& record = *it.second;
+        const bool is_open = !record.is_drained || (record.is_in_drain_grace(m_clock.now()) &&
+                                                    has_begun_in(job, record.info.failure_domain));
+        return is_open && record.is_kept();
+    });
+}
+
 std::vector<const task_record*> task_starter::start_waiting_tasks(job_record& job) {
     std::vector<const task_record*> started;
     std::optional<int> full_step; // tasks of a step have equal requirements
--- a/source/core/cell/task_starter.h
+++ b/source/core/cell/task_starter.h
@@ -18,8 +18,11 @@
 
     // Starts as many of the job's waiting tasks as there is room for now, and returns them.
     std::vector<const task_record*> start_waiting_tasks(job_record& job);
+    // Whether the failure domain of any executor lets the job start tasks.
+    bool may_start_later(const job_record& job) const;
 
 private:
+    bool has_begun_in(const job_record& job, const std::string& domain) const;
     bool start(job_record& job, task_record& task);
     // An executor for the task, or nullptr.
     const std::string* choose_executor(const job_record& job, const task_record& task) const;
