gateway: jobs go to no dispatcher of a drained failure domain

Cause: entries of a drained domain still accept callers, whose jobs must go elsewhere at once. Change: dispatchers of drained domains are no targets, unless they hold executors of other domains. When every domain with executors is drained, a job is refused at once with a retry time.

--- a/source/core/gateway/gateway.cpp
+++ b/source/core/gateway/gateway.cpp
@@ -65,7 +65,7 @@
     for (const auto* it : m_view.live_peers(now)) {
         // A stopping dispatcher reports the capacity that it still accepts jobs for.
         const auto& name = it->identity.name;
-        if (it->status.load.capacity_cpu_millis <= 0 || tried.contains(name)) {
+        if (it->status.load.capacity_cpu_millis <= 0 || tried.contains(name) || is_drained(*it)) {
             continue;
         }
         const auto sent = m_sent_since_heartbeat.find(name);
@@ -75,6 +75,23 @@
     return list;
 }
 
+bool gateway::is_drained(const fleet::peer& it) const {
+    // It may not have learnt of the drain yet, or follow none in an earlier version. What it offers
+    // besides are executors that it has adopted from other domains.
+    return m_drains != nullptr && m_drains->is_drained(it.identity.failure_domain) &&
+           it.status.adopted.empty();
+}
+
+bool gateway::are_all_drained() const {
+    if (m_drains == nullptr || m_drains->count() == 0) {
+        return false;
+    }
+    const auto& domains =
+        m_executor_domains.empty() ? m_view.live_domains(m_clock.now()) : m_executor_domains;
+    return std::all_of(domains.begin(), domains.end(),
+                       [this](const std::string& it) { return m_drains->is_drained(it); });
+}
+
 void gateway::place(std::uint64_t ticket) {
     auto& open = m_open.at(ticket);
     const auto list = targets(open.tried);
@@ -112,6 +129,10 @@
 }
 
 void gateway::wait_or_refuse(std::uint64_t ticket) {
+    if (are_all_drained()) {
+        refuse(ticket, "every failure domain with executors is drained");
+        return;
+    }
     const auto& open = m_open.at(ticket);
     const auto end = m_clock.now() + open.job.critical_path_length();
     const bool is_worth_waiting =
--- a/source/core/gateway/gateway.h
+++ b/source/core/gateway/gateway.h
@@ -11,6 +11,7 @@
 #include "core/cell/dispatcher.h"
 #include "core/common/error.h"
 #include "core/common/stall_detector.h"
+#include "core/fleet/drained_domains.h"
 #include "core/fleet/view.h"
 #include "core/gateway/forwarding_codec.h"
 #include "core/gateway/target_choice.h"
@@ -42,6 +43,13 @@
             cell::dispatcher& own, forwarding_client& client, cell::job_observer& observer,
             common::random_source& random);
 
+    // Jobs go to no dispatcher of a drained domain.
+    void set_drains(const fleet::drained_domains& drains) { m_drains = &drains; }
+    // The failure domains that have executors. Empty if not known: then those with live entries.
+    void set_executor_domains(std::set<std::string> domains) {
+        m_executor_domains = std::move(domains);
+    }
+
     // `done` is called once, possibly before this returns, unless the ticket is abandoned.
     std::uint64_t submit(work::job job, cell::done_callback done);
     void abandon(std::uint64_t ticket);
@@ -75,6 +83,9 @@
     };
 
     std::vector<target> targets(const std::set<std::string>& tried) const;
+    bool is_drained(const fleet::peer& it) const;
+    // Whether no domain with executors is left to place a job in.
+    bool are_all_drained() const;
     void place(std::uint64_t ticket);
     void forward(std::uint64_t ticket, const fleet::peer& to);
     bool is_held_for(const std::string& dispatcher, std::uint64_t forward_number) const;
@@ -98,6 +109,8 @@
     forwarding_client& m_client;
     cell::job_observer& m_observer;
     common::random_source& m_random;
+    const fleet::drained_domains* m_drains = nullptr; // null: none ever is
+    std::set<std::string> m_executor_domains;
     std::map<std::uint64_t, open_job> m_open;
     std::set<std::uint64_t> m_waiting; // tickets of jobs that found no dispatcher
     std::map<std::string, std::int64_t> m_sent_since_heartbeat; // thousandths of a core, by entry
--- a/source/unit_tests/gateway/gateway_test.cpp
+++ b/source/unit_tests/gateway/gateway_test.cpp
@@ -225,6 +225,110 @@
                   ", last heartbeat 90 ms ago, it had heard this entry 1 ms before");
 }
 
+// What a gateway in domain "d" does with a job.
+struct drained_fleet {
+    std::string failure; // that it guards against
+    std::vector<std::string> drained;
+    std::vector<std::string> with_executors; // empty: not known
+    std::string target;                      // name of an entry; empty: the job waits or is refused
+    bool is_refused_at_once = false;
+
+    friend std::ostream& operator<<(std::ostream& out, const drained_fleet& it) {
+        return out << it.failure;
+    }
+};
+
+class a_draining_gateway : public a_gateway {
+protected:
+    void drain(const std::vector<std::string>& domains) {
+        m_drains.read(++m_version, domains, m_clock.now());
+    }
+
+    // Where a job is sent, by the length of the entry's name (see receive()).
+    std::string target() const { return m_client.sent.empty() ? "" : m_client.sent.back().to.host; }
+
+    std::uint64_t m_version = 0;
+    fleet::drained_domains m_drains;
+};
+
+class drained_fleets : public a_draining_gateway,
+                       public testing::WithParamInterface<drained_fleet> {};
+
+TEST_P(drained_fleets, get_no_jobs) {
+    const auto& it = GetParam();
+    receive("near", "d", 640000);
+    receive("farther", "other", 640000);
+    m_gateway.set_drains(m_drains);
+    m_gateway.set_executor_domains({it.with_executors.begin(), it.with_executors.end()});
+    drain(it.drained);
+    submit();
+    EXPECT_EQ(target(), it.target.empty() ? "" : "10.0.0." + std::to_string(it.target.size()));
+    ASSERT_EQ(m_outcomes.size(), it.is_refused_at_once ? 1U : 0U);
+    if (it.is_refused_at_once) {
+        EXPECT_EQ(m_outcomes[0].end, job_end::not_run);
+        EXPECT_GT(m_outcomes[0].retry_after.count(), 0);
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    drains, drained_fleets,
+    testing::Values(
+        drained_fleet{"a drain elsewhere moves jobs", {"x"}, {}, "near"},
+        drained_fleet{"an entry that has not learnt yet gets jobs", {"d"}, {}, "farther"},
+        drained_fleet{"a job leaves its domain for a drained one", {"other"}, {}, "near"},
+        drained_fleet{"a caller waits in vain", {"d", "other"}, {}, "", true},
+        drained_fleet{
+            "a caller waits in vain, known by the list", {"d", "other"}, {"d", "other"}, "", true},
+        drained_fleet{
+            "a job is refused while a domain is left", {"d", "other"}, {"d", "other", "third"}, ""},
+        drained_fleet{"a domain with entries only counts as a way out",
+                      {"d", "other"},
+                      {"other"},
+                      "",
+                      true}));
+
+// The entry's own executors are drained, but it has adopted some of a domain without entries.
+TEST_F(a_draining_gateway, uses_entries_that_hold_executors_of_other_domains) {
+    m_gateway.set_drains(m_drains);
+    drain({"d"});
+    fleet::heartbeat it;
+    it.sender = {"near", "d", "", 1, 250};
+    it.status.sequence = 1;
+    it.status.load = {640000, 640000, 0};
+    it.status.adopted = {7};
+    it.heard_recipient = milliseconds(1);
+    m_view.receive(it, "10.0.0.4", m_clock.now());
+    submit();
+    EXPECT_EQ(target(), "10.0.0.4");
+}
+
+TEST_F(a_draining_gateway, places_a_job_that_a_drained_cell_has_left_in_another_domain) {
+    receive("near", "d", 640000);
+    receive("farther", "other", 640000);
+    m_gateway.set_drains(m_drains);
+    submit();
+    ASSERT_EQ(target(), "10.0.0.4");
+    drain({"d"});
+    m_client.sent[0].done(work::outcome{job_end::not_run, "drained", milliseconds(1000), true});
+    EXPECT_EQ(target(), "10.0.0.7");
+}
+
+// Jobs that waited for a dispatcher went on waiting when the last domain was drained, or missed
+// that one was taken back.
+TEST_F(a_draining_gateway, ends_the_wait_for_a_dispatcher) {
+    m_gateway.set_drains(m_drains);
+    submit();
+    ASSERT_TRUE(m_outcomes.empty());
+    drain({"d"});
+    m_gateway.tick();
+    ASSERT_EQ(m_outcomes.size(), 1U);
+    EXPECT_EQ(m_outcomes[0].end, job_end::not_run);
+    drain({});
+    receive("near", "d", 640000);
+    submit();
+    EXPECT_EQ(target(), "10.0.0.4");
+}
+
 class a_forwarding_service : public a_gateway {
 protected:
     // Receives a job that the entry "near" forwards, with leases if the number is not 0.
