--- a/source/unit_tests/platform_adapter/codec_test.cpp
+++ b/source/unit_tests/platform_adapter/codec_test.cpp
@@ -134,6 +134,33 @@
     EXPECT_EQ(*it, expected);
 }
 
+struct cold_case {
+    const char* field; // of the executor's row
+    int expected_ms;
+};
+
+class cold_executors : public testing::TestWithParam<cold_case> {};
+
+// A malformed value made an executor unusable, or a value that changes with each heartbeat made
+// entries pass on the executor's row each time.
+TEST_P(cold_executors, are_decoded) {
+    auto text = std::string(valid_executor);
+    text.insert(1, GetParam().field);
+    const auto it = decode_executor("i-1", text);
+    ASSERT_TRUE(it);
+    EXPECT_EQ(it->cold_left, milliseconds(GetParam().expected_ms));
+}
+
+INSTANTIATE_TEST_SUITE_P(codec, cold_executors,
+                         testing::Values(cold_case{"", 0}, cold_case{R"("coldLeftMs":0,)", 0},
+                                         cold_case{R"("coldLeftMs":1,)", 1000},
+                                         cold_case{R"("coldLeftMs":2000,)", 2000},
+                                         cold_case{R"("coldLeftMs":2000.5,)", 3000},
+                                         cold_case{R"("coldLeftMs":-5,)", 0},
+                                         cold_case{R"("coldLeftMs":1e300,)", 600000},
+                                         cold_case{R"("coldLeftMs":"3000",)", 0},
+                                         cold_case{R"("coldLeftMs":null,)", 0}));
+
 class unusable_executors : public testing::TestWithParam<const char*> {};
 
 TEST_P(unusable_executors, are_rejected) {
