--- a/source/integration_tests/platform_soak_test.cpp
+++ b/source/integration_tests/platform_soak_test.cpp
@@ -297,6 +297,36 @@
 // 3: answers of an entry that was paused for 2.4 s counted as late; the pause is now allowed for.
 INSTANTIATE_TEST_SUITE_P(seeds, soak, testing::Values(1, 2, 3));
 
+// Domains that are drained and taken back, one or both, while faults are injected.
+class soak_of_drains : public soak {
+protected:
+    void inject_fault() override {
+        const std::string domain = pick(2) == 0 ? "a" : "b";
+        auto& platform = m_fleet.platform();
+        switch (pick(6)) {
+        case 0:
+            platform.drain(domain);
+            break;
+        case 1:
+        case 2:
+            platform.end_drain(domain);
+            break;
+        case 3:
+            platform.set_cold(pick(executors()), milliseconds(pick(3000)));
+            break;
+        default:
+            soak::inject_fault();
+            break;
+        }
+    }
+};
+
+TEST_P(soak_of_drains, keeps_the_promises) {
+    run();
+}
+
+INSTANTIATE_TEST_SUITE_P(seeds, soak_of_drains, testing::Values(1, 2));
+
 // Two entries in each of three failure domains. Faults last for a while each, beside others.
 class soak_of_three_domains : public soak {
 protected:
--- a/source/stand_ins/users_platform/emulator.cpp
+++ b/source/stand_ins/users_platform/emulator.cpp
@@ -189,6 +189,21 @@
     return domains;
 }
 
+std::uint64_t emulator::starts_in(const std::string& domain) {
+    const std::lock_guard lock(m_mutex);
+    return m_starts_in[domain];
+}
+
+std::size_t emulator::running_in(const std::string& domain) {
+    const std::lock_guard lock(m_mutex);
+    std::size_t sum = 0;
+    for (const auto& it : m_executors) {
+        const auto& simulated = it->simulated;
+        sum += simulated.info().failure_domain == domain ? simulated.running().size() : 0;
+    }
+    return sum;
+}
+
 void emulator::set_stop_fault(int executor, stop_fault fault) {
     const std::lock_guard lock(m_mutex);
     m_executors.at(executor)->on_stop = fault;
@@ -239,6 +254,26 @@
     m_tables[table][key] = {value, ++m_version, false};
 }
 
+void emulator::remove(const std::string& table, const std::string& key) {
+    const std::lock_guard lock(m_mutex);
+    m_tables[table][key] = {"", ++m_version, true};
+}
+
+void emulator::drain(const std::string& domain, const std::string& value) {
+    put(names::operator_table, std::string(names::drain_key_prefix) + domain, value);
+}
+
+void emulator::end_drain(const std::string& domain) {
+    remove(names::operator_table, std::string(names::drain_key_prefix) + domain);
+}
+
+void emulator::set_cold(int executor, milliseconds left) {
+    const std::lock_guard lock(m_mutex);
+    auto info = m_executors.at(executor)->simulated.info();
+    info.cold_left = left;
+    put(names::executor_table, info.id, codec::encode_executor(info));
+}
+
 std::string emulator::rows_json(const std::string& table, std::uint64_t after) {
     codec::store_rows rows;
     rows.version = m_version;
@@ -288,7 +323,7 @@
         if (it.value) {
             put(it.table, it.key, *it.value);
         } else {
-            m_tables[it.table][it.key] = {"", ++m_version, true};
+            remove(it.table, it.key);
         }
     }
     to->send({200, {}, codec::encode_rows("", {{}, m_version, false}), json_type});
@@ -313,6 +348,7 @@
         const auto reply = simulated.start(order, parse_payload(order.payload));
         if (reply.status == work::order_status::accepted) {
             m_starts++;
+            m_starts_in[simulated.info().failure_domain]++;
             m_started_jobs.insert(order.run.task.job);
             advance();
         }
--- a/source/stand_ins/users_platform/emulator.h
+++ b/source/stand_ins/users_platform/emulator.h
@@ -76,7 +76,17 @@
     // Writes a configuration with one queue, at host "h.example", prefix "/q/".
     void configure(std::uint64_t version);
 
+    // Writes the row that drains a failure domain, or removes it.
+    void drain(const std::string& domain, const std::string& value = "{}");
+    void end_drain(const std::string& domain);
+    // Writes an executor's row, which says for how long it remains slow.
+    void set_cold(int executor, common::milliseconds left);
+
     std::uint64_t starts() const { return m_starts; }
+    // Accepted start orders of executors of the domain.
+    std::uint64_t starts_in(const std::string& domain);
+    // Runs on executors of the domain.
+    std::size_t running_in(const std::string& domain);
     // How many times a task ran on two executors at once.
     std::uint64_t duplicate_runs() { return overlaps().size(); }
     std::vector<overlap> overlaps();
@@ -114,6 +124,7 @@
                        const answer& to);
     void write_rows(const std::string& body, const answer& to);
     void put(const std::string& table, const std::string& key, const std::string& value);
+    void remove(const std::string& table, const std::string& key);
     void serve_executor(executor_host& host, const reactor::http_request& request,
                         const answer& to);
     void wait_for_end(executor_host& host, common::time_point until, const answer& to);
@@ -142,6 +153,7 @@
     std::vector<std::unique_ptr<executor_host>> m_executors;
     std::unique_ptr<reactor::http_server> m_store;
     std::set<std::string> m_started_jobs;
+    std::map<std::string, std::uint64_t> m_starts_in; // by domain
     std::vector<overlap> m_overlaps;
     std::vector<answer> m_unanswered;
     std::atomic<std::uint64_t> m_starts = 0;
