Executors' speeds are learnt and used for placement, limits and load

Nothing reports how fast an executor is. Where kinds of different speeds are mixed, tasks with little slack were placed on slow executors and came late, and tasks that take many times as long as usual were stopped there as stuck.

cell/executor_speed learns the speeds from the durations of successful runs against the predicted ones. Where they differ significantly, the dispatcher normalises durations before they are fitted, places by expected duration, and counts capacity as work. The time after which a run counts as stuck allows for a slow executor, also while its speed is unknown, as long as another run would still be of use to the caller.

--- a/source/core/cell/cell_load.cpp
+++ b/source/core/cell/cell_load.cpp
@@ -11,20 +11,26 @@
            !it.is_unresponsive() && !it.health.is_quarantined(now);
 }
 
+std::int64_t as_work(std::int64_t cpu_millis, double speed) {
+    return std::llround(static_cast<double>(cpu_millis) * speed);
+}
+
 } // namespace
 
 cell_load load_of(const std::map<std::string, std::unique_ptr<executor_record>>& executors,
-                  double typical_task_cpu_millis, common::time_point now) {
+                  double typical_task_cpu_millis, const executor_speeds& speeds,
+                  common::time_point now) {
     cell_load sum;
     const auto piece = std::max<std::int64_t>(std::llround(typical_task_cpu_millis), 1);
     for (const auto& [id, it] : executors) {
         if (!counts_as_capacity(*it, now)) {
             continue;
         }
-        sum.capacity_cpu_millis += it->info.capacity.cpu_millis;
+        const double speed = speeds.current_speed(it->info);
+        sum.capacity_cpu_millis += as_work(it->info.capacity.cpu_millis, speed);
         const auto free = std::max<std::int64_t>(it->free().cpu_millis, 0);
-        sum.free_cpu_millis += free;
-        sum.usable_cpu_millis += free / piece * piece;
+        sum.free_cpu_millis += as_work(free, speed);
+        sum.usable_cpu_millis += as_work(free / piece * piece, speed);
     }
     return sum;
 }
--- a/source/core/cell/cell_load.h
+++ b/source/core/cell/cell_load.h
@@ -7,9 +7,11 @@
 #include <string>
 
 #include "core/cell/executor_record.h"
+#include "core/cell/executor_speed.h"
 
 namespace savorytrail::cell {
 
+// Where the speeds of executors differ, CPU counts as work: times the executor's speed.
 struct cell_load {
     std::int64_t capacity_cpu_millis = 0; // of the executors that accept work
     std::int64_t free_cpu_millis = 0;
@@ -22,6 +24,7 @@
 
 // The load without the backlog. `typical_task_cpu_millis`: 0 before the first job.
 cell_load load_of(const std::map<std::string, std::unique_ptr<executor_record>>& executors,
-                  double typical_task_cpu_millis, common::time_point now);
+                  double typical_task_cpu_millis, const executor_speeds& speeds,
+                  common::time_point now);
 
 } // namespace savorytrail::cell
--- a/source/core/cell/dispatcher.cpp
+++ b/source/core/cell/dispatcher.cpp
@@ -116,7 +116,7 @@
 
 double dispatcher::effective_capacity() const {
     const auto nominal =
-        load_of(m_executor_manager.executors(), m_typical_task_cpu_millis, m_clock.now());
+        load_of(m_executor_manager.executors(), m_typical_task_cpu_millis, m_speeds, m_clock.now());
     return m_capacity_meter.effective(static_cast<double>(nominal.capacity_cpu_millis));
 }
 
@@ -254,6 +254,7 @@
 
 void dispatcher::tick() {
     const auto now = m_clock.now();
+    note_executors();
     const bool is_overloaded = m_admission.is_overloaded(effective_capacity(), now);
     bool has_waiting_tasks = false;
     for (auto it = m_jobs.begin(); it != m_jobs.end();) {
@@ -318,17 +319,45 @@
     m_is_dispatching = false;
 }
 
-void dispatcher::on_run_duration(const work::run_key& run, const work::executor_info& /*executor*/,
+void dispatcher::note_executors() {
+    if (m_known_claims == m_executor_manager.claims_version()) {
+        return;
+    }
+    m_known_claims = m_executor_manager.claims_version();
+    std::vector<const work::executor_info*> list;
+    list.reserve(m_executor_manager.executors().size());
+    for (const auto& [id, it] : m_executor_manager.executors()) {
+        list.push_back(&it->info);
+    }
+    m_speeds.set_executors(list, m_clock.now());
+}
+
+void dispatcher::note_pace(const work::executor_info& executor, executor_speeds::change change) {
+    if (change != executor_speeds::change::none || m_speeds.is_turned_slow(executor.id)) {
+        // Again after each slow run, as its success has ended the probation.
+        m_executor_manager.note_pace(executor.id, change);
+    }
+}
+
+void dispatcher::on_run_duration(const work::run_key& run, const work::executor_info& executor,
                                  milliseconds took) {
     const auto job = find(run.task.job);
     if (job == m_jobs.end() || m_stopping_runs.contains(run.task)) {
         return;
     }
     const auto predicted = job->job().steps.at(run.task.step).estimate;
+    const auto seen = m_speeds.add(executor, run.task.job, predicted, took);
+    note_pace(executor, seen.what);
+    if (!seen.speed) {
+        return; // of an executor that is not as fast as usual
+    }
+    // The cell's capacity counts slow executors as less already.
+    const std::chrono::duration<double, std::milli> at_speed_1 = took * *seen.speed;
     if (predicted.count() > 0) {
-        m_capacity_meter.add_run(std::chrono::duration<double>(took) / predicted);
+        m_capacity_meter.add_run(at_speed_1 / predicted);
     }
-    m_durations.add(job->job().queue.name, job->caller_estimate(run.task.step), took);
+    m_durations.add(job->job().queue.name, job->caller_estimate(run.task.step),
+                    milliseconds(std::llround(at_speed_1.count())));
 }
 
 void dispatcher::on_run_ended(const work::run_key& run, const std::string& executor,
@@ -397,7 +426,8 @@
 }
 
 cell_load dispatcher::load() const {
-    auto sum = load_of(m_executor_manager.executors(), m_typical_task_cpu_millis, m_clock.now());
+    auto sum =
+        load_of(m_executor_manager.executors(), m_typical_task_cpu_millis, m_speeds, m_clock.now());
     if (sum.capacity_cpu_millis > 0) {
         sum.backlog_ms = static_cast<std::int64_t>(
             waiting_cpu_demand() /
--- a/source/core/cell/dispatcher.h
+++ b/source/core/cell/dispatcher.h
@@ -12,6 +12,7 @@
 #include "core/cell/cell_load.h"
 #include "core/cell/duration_model.h"
 #include "core/cell/executor_manager.h"
+#include "core/cell/executor_speed.h"
 #include "core/cell/job_record.h"
 #include "core/cell/ranking.h"
 #include "core/cell/stopping_runs.h"
@@ -59,6 +60,8 @@
     void tick();
 
     cell_load load() const;
+    executor_speeds& speeds() { return m_speeds; }
+    const executor_speeds& speeds() const { return m_speeds; }
     std::size_t open_jobs() const { return m_jobs.size(); }
 
     void on_run_ended(const work::run_key& run, const std::string& executor, run_result result,
@@ -96,6 +99,8 @@
     void on_failure(job_list::iterator job, task_record& task);
     admission_view view_for(const job_record& candidate) const;
     void note_task_sizes(const work::job& job);
+    void note_executors();
+    void note_pace(const work::executor_info& executor, executor_speeds::change change);
     double waiting_cpu_demand() const;
     double effective_capacity() const;
 
@@ -106,10 +111,13 @@
     job_list m_jobs;
     absl::flat_hash_map<std::string, job_list::iterator> m_by_id;
     stopping_runs m_stopping_runs;
-    task_starter m_starter{m_limits, m_clock, m_executor_manager, m_stopping_runs};
+    duration_model m_durations; // for speed 1
+    executor_speeds m_speeds;
+    std::uint64_t m_known_claims = 0; // version of the executors that m_speeds knows
+    task_starter m_starter{m_limits,        m_clock,     m_executor_manager,
+                           m_stopping_runs, m_durations, m_speeds};
     admission m_admission{fair_limits()};
     capacity_meter m_capacity_meter;
-    duration_model m_durations;
     double m_typical_task_cpu_millis = 0; // of recent jobs; 0 before the first
     std::uint64_t m_next_ticket = 1;
     bool m_is_dispatching = false;
--- a/source/core/cell/duration_model.cpp
+++ b/source/core/cell/duration_model.cpp
@@ -18,6 +18,10 @@
     return (weight * fitted + prior_weight * x) / (weight + prior_weight);
 }
 
+double duration_model::fit::predict_unshrunk(double x) const {
+    return (weight * (x + mean_y - mean_x) + prior_weight * x) / (weight + prior_weight);
+}
+
 common::milliseconds duration_model::predicted_duration(const std::string& queue,
                                                         common::milliseconds estimate) const {
     const auto it = m_queues.find(queue);
@@ -28,6 +32,17 @@
     return common::milliseconds(std::max<std::int64_t>(std::llround(ms), 1));
 }
 
+common::milliseconds duration_model::cautious_duration(const std::string& queue,
+                                                       common::milliseconds estimate) const {
+    const auto predicted = predicted_duration(queue, estimate);
+    const auto it = m_queues.find(queue);
+    if (it == m_queues.end() || estimate.count() <= 0) {
+        return predicted;
+    }
+    const double ms = std::exp(it->second.predict_unshrunk(log_ms(estimate)));
+    return std::max(predicted, common::milliseconds(std::llround(ms)));
+}
+
 work::job duration_model::with_predicted_durations(work::job job) const {
     for (auto& step : job.steps) {
         step.estimate = predicted_duration(job.queue.name, step.estimate);
--- a/source/core/cell/duration_model.h
+++ b/source/core/cell/duration_model.h
@@ -16,10 +16,15 @@
     // The predicted duration of a task of this queue with the given estimate.
     common::milliseconds predicted_duration(const std::string& queue,
                                             common::milliseconds estimate) const;
+    // The longest duration that is likely with the given estimate. Where estimates are rough, the
+    // prediction of the rare task that takes many times as long as usual is too short by far; this
+    // one is not shrunk towards the queue's mean.
+    common::milliseconds cautious_duration(const std::string& queue,
+                                           common::milliseconds estimate) const;
     // Returns the job with the estimates of its steps replaced by predicted durations.
     work::job with_predicted_durations(work::job job) const;
 
-    // Adds the observed duration of a successful task.
+    // Adds the observed duration of a successful task, as it would be on an executor of speed 1.
     void add(const std::string& queue, common::milliseconds estimate, common::milliseconds took);
 
 private:
@@ -32,6 +37,8 @@
         double covariance = 0;
 
         double predict(double x) const;
+        // With the estimate taken at its word, but for the mean error of the queue's estimates.
+        double predict_unshrunk(double x) const;
     };
 
     // Weight of the prior that estimates are exact, as a number of observations.
--- a/source/core/cell/executor_health.h
+++ b/source/core/cell/executor_health.h
@@ -16,6 +16,8 @@
     void note_failure(bool is_first, common::time_point now);
     void note_overdue(common::time_point now) { quarantine(now); }
     void note_success();
+    // The executor is slower than it usually is.
+    void put_on_probation() { m_is_on_probation = true; }
 
     bool is_quarantined(common::time_point now) const { return now < m_quarantined_until; }
     bool is_on_probation() const { return m_is_on_probation; }
--- a/source/core/cell/executor_manager.cpp
+++ b/source/core/cell/executor_manager.cpp
@@ -268,6 +268,30 @@
     }
 }
 
+void executor_manager::note_pace(const std::string& executor, executor_speeds::change change) {
+    auto* it = find(executor);
+    if (it == nullptr) {
+        return;
+    }
+    switch (change) {
+    case executor_speeds::change::turned_slow:
+        m_observer.executor_changed(executor, "executor_slowed",
+                                    "runs of several jobs took far longer than usual there");
+        break;
+    case executor_speeds::change::speed_regained:
+        m_observer.executor_changed(executor, "executor_speed_regained",
+                                    "a run took as long as usual there");
+        return;
+    case executor_speeds::change::speed_accepted:
+        m_observer.executor_changed(executor, "executor_speed_accepted",
+                                    "it was slow for so many runs that its speed is learnt anew");
+        return;
+    case executor_speeds::change::none:
+        break;
+    }
+    it->health.put_on_probation();
+}
+
 void executor_manager::finish_run(executor_record& it, const work::run_key& key, run_result result,
                                   order_status status) {
     const auto found = it.runs.find(key);
--- a/source/core/cell/executor_manager.h
+++ b/source/core/cell/executor_manager.h
@@ -18,6 +18,7 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "core/cell/executor_record.h"
+#include "core/cell/executor_speed.h"
 #include "core/cell/orders.h"
 #include "core/common/error.h"
 #include "core/common/stall_detector.h"
@@ -94,6 +95,8 @@
     // of the lease that it has.
     void stop(const std::string& executor, const work::run_key& run, common::time_point ends_by);
     void note_failure(const std::string& executor, bool is_first);
+    // A run took far longer than usual there, or as long as usual again.
+    void note_pace(const std::string& executor, executor_speeds::change change);
 
     void on_start_reply(const std::string& executor, const work::run_key& run,
                         const work::order_reply& reply);
--- a/source/core/cell/placement.cpp
+++ b/source/core/cell/placement.cpp
@@ -1,10 +1,27 @@
 #include "core/cell/placement.h"
 
+#include <cmath>
 #include <memory>
 
 namespace savorytrail::cell {
 namespace {
 
+// A task is expected to end in time if this multiple of its expected duration fits into the time
+// left: tasks of one job differ, by 15% where it was observed, and predictions are inexact.
+constexpr double time_margin = 1.3;
+// Speeds that differ by less are not told apart: executors of one kind never seem quite equal, and
+// would otherwise be filled in the order of their estimates instead of by the room they have.
+const double log_speed_step = std::log(1.15);
+
+void add_cost_of_speed(const placement_request& request, const work::executor_info& executor,
+                       placement_cost& cost) {
+    const double speed = request.speeds->current_speed(executor);
+    const auto took = static_cast<double>(request.expected.count()) / speed;
+    cost.is_late = took * time_margin > static_cast<double>(request.left.count());
+    const int steps = static_cast<int>(std::lround(std::log(speed) / log_speed_step));
+    cost.speed_steps = cost.is_late ? -steps : steps;
+}
+
 bool can_run(const placement_request& request, const executor_record& it) {
     const auto& step = *request.step;
     if (it.info.upstream != *request.upstream || !it.free().covers(step.task_resources)) {
@@ -22,6 +39,9 @@
     cost.is_avoided = it.info.id == *request.avoid;
     cost.is_on_other_rack =
         !request.step->preferred_rack.empty() && !it.info.has_label(request.step->preferred_rack);
+    if (request.speeds != nullptr) {
+        add_cost_of_speed(request, it.info, cost);
+    }
     cost.cpu_millis_left = it.free().cpu_millis - request.step->task_resources.cpu_millis;
     return cost;
 }
--- a/source/core/cell/placement.h
+++ b/source/core/cell/placement.h
@@ -1,5 +1,8 @@
 // Chooses an executor for a task. Executors in the rack of the task's data come first, then best
-// fit: the executor with the least CPU left, so that large tasks still fit elsewhere.
+// fit: the executor with the least CPU left, so that large tasks still fit elsewhere. Where the
+// speeds of executors differ, those on which the task can be expected to end in time come before
+// the others; among the former the slowest is chosen, so that the fast ones stay free for tasks
+// with little time left, and among the latter the fastest.
 #pragma once
 
 #include <compare>
@@ -9,6 +12,7 @@
 #include <string>
 
 #include "core/cell/executor_record.h"
+#include "core/cell/executor_speed.h"
 #include "core/work/job.h"
 
 namespace savorytrail::cell {
@@ -19,12 +23,17 @@
     const std::string* avoid = nullptr; // chosen only if no other executor fits
     std::function<int(const std::string& executor)>
         tasks_on_executor; // active tasks of the step there, for its max_per_executor
+    const executor_speeds* speeds = nullptr; // nullptr where they do not differ
+    common::milliseconds expected{0};        // duration at speed 1
+    common::milliseconds left{0};            // until the task must have ended to be on time
 };
 
 // What speaks against an executor, the weightiest first: the lowest cost is chosen.
 struct placement_cost {
     bool is_avoided = false;
     bool is_on_other_rack = false;
+    bool is_late = false;             // not expected to end in time there, with a margin
+    int speed_steps = 0;              // slower where the task is on time, faster where it is late
     std::int64_t cpu_millis_left = 0; // after the task has started
 
     auto operator<=>(const placement_cost&) const = default;
--- a/source/core/cell/task_starter.h
+++ b/source/core/cell/task_starter.h
@@ -4,7 +4,9 @@
 
 #include <vector>
 
+#include "core/cell/duration_model.h"
 #include "core/cell/executor_manager.h"
+#include "core/cell/executor_speed.h"
 #include "core/cell/job_record.h"
 #include "core/cell/stopping_runs.h"
 
@@ -13,8 +15,10 @@
 class task_starter {
 public:
     task_starter(const limits& by, const common::clock& clock, executor_manager& manager,
-                 const stopping_runs& stopping)
-        : m_limits(by), m_clock(clock), m_executor_manager(manager), m_stopping_runs(stopping) {}
+                 const stopping_runs& stopping, const duration_model& durations,
+                 const executor_speeds& speeds)
+        : m_limits(by), m_clock(clock), m_executor_manager(manager), m_stopping_runs(stopping),
+          m_durations(durations), m_speeds(speeds) {}
 
     // Starts as many of the job's waiting tasks as there is room for now, and returns them.
     std::vector<const task_record*> start_waiting_tasks(job_record& job);
@@ -23,12 +27,14 @@
     bool start(job_record& job, task_record& task);
     // An executor for the task, or nullptr.
     const std::string* choose_executor(const job_record& job, const task_record& task) const;
-    common::milliseconds time_limit(const work::step& step, const task_record& task) const;
+    common::milliseconds time_limit(const job_record& job, const task_record& task) const;
 
     const limits& m_limits;
     const common::clock& m_clock;
     executor_manager& m_executor_manager;
     const stopping_runs& m_stopping_runs;
+    const duration_model& m_durations;
+    const executor_speeds& m_speeds;
 };
 
 } // namespace savorytrail::cell
--- a/source/core/work/job.cpp
+++ b/source/core/work/job.cpp
@@ -26,6 +26,23 @@
     return longest;
 }
 
+common::milliseconds job::path_length_after(int step) const {
+    std::vector<common::milliseconds> paths(steps.size()); // of steps that depend on it
+    common::milliseconds longest{0};
+    std::vector<bool> is_after(steps.size(), false);
+    is_after.at(step) = true;
+    for (std::size_t i = static_cast<std::size_t>(step) + 1; i < steps.size(); i++) {
+        for (const int dependency : steps[i].depends_on) {
+            if (is_after.at(dependency)) {
+                is_after[i] = true;
+                paths[i] = std::max(paths[i], paths[dependency] + steps[i].estimate);
+            }
+        }
+        longest = std::max(longest, paths[i]);
+    }
+    return longest;
+}
+
 common::milliseconds job::objective() const {
     const auto chain = static_cast<double>(critical_path_length().count());
     return common::milliseconds(static_cast<std::int64_t>(chain * queue.stretch)) + queue.target;
--- a/source/core/work/job.h
+++ b/source/core/work/job.h
@@ -53,6 +53,8 @@
     int tasks() const;
     // The sum of estimates along the longest path through the steps.
     common::milliseconds critical_path_length() const;
+    // The sum of estimates along the longest path through the steps that depend on the given one.
+    common::milliseconds path_length_after(int step) const;
     // The longest latency, counted from the first send, at which the answer is still on time.
     common::milliseconds objective() const;
     // Estimated CPU time of all tasks, in thousandths of a core times milliseconds.
