A task that would be late on a slow executor waits for a fast one

A long task that came while all fast executors were busy was started on a slow one, where a fifth of such tasks end too late, though the fast ones take less than half as long and were free again soon. It now waits if the runs on a fast executor are expected to end soon enough. Each awaited executor counts for one task.

--- a/source/core/cell/dispatcher.cpp
+++ b/source/core/cell/dispatcher.cpp
@@ -313,6 +313,7 @@
     }
     std::stable_sort(order.begin(), order.end(),
                      [](const auto& a, const auto& b) { return a.first < b.first; });
+    m_starter.begin_round();
     for (const auto& [job_rank, job] : order) {
         note_starts(*job, m_starter.start_waiting_tasks(*job));
     }
--- a/source/core/cell/executor_manager.cpp
+++ b/source/core/cell/executor_manager.cpp
@@ -170,7 +170,7 @@
 
 bool executor_manager::start(const std::string& executor, const work::run_key& run,
                              work::resources occupied, milliseconds time_limit,
-                             const std::string& payload) {
+                             const std::string& payload, milliseconds expected) {
     auto* it = find(executor);
     if (it == nullptr || was_suspended() || m_stalls.is_catching_up() ||
         !it->accepts_work(m_clock.now()) || !it->free().covers(occupied)) {
@@ -180,6 +180,7 @@
     record.occupied = occupied;
     record.payload = payload;
     record.time_limit = time_limit;
+    record.expected = expected;
     record.started_at = m_clock.now();
     const auto left = std::chrono::duration_cast<milliseconds>(
         std::min(m_listener->may_run_until(run), m_clock.now() + m_limits.longest_lease) -
--- a/source/core/cell/executor_manager.h
+++ b/source/core/cell/executor_manager.h
@@ -90,7 +90,8 @@
     common::milliseconds longest_wait() const { return m_stalls.longest_wait(); }
 
     bool start(const std::string& executor, const work::run_key& run, work::resources occupied,
-               common::milliseconds time_limit, const std::string& payload);
+               common::milliseconds time_limit, const std::string& payload,
+               common::milliseconds expected = common::milliseconds(0));
     // Stops the run; whether or not the order is carried out, it ends by `ends_by`, or by the end
     // of the lease that it has.
     void stop(const std::string& executor, const work::run_key& run, common::time_point ends_by);
--- a/source/core/cell/executor_record.h
+++ b/source/core/cell/executor_record.h
@@ -23,6 +23,7 @@
     work::resources occupied;
     std::string payload;
     common::milliseconds time_limit{0}; // a run that takes longer is considered stuck
+    common::milliseconds expected{0};   // duration on this executor; 0 when unknown
     run_state state = run_state::starting;
     common::time_point started_at;
     int starts_sent = 1;                                  // 2 after a resend
--- a/source/core/cell/placement.cpp
+++ b/source/core/cell/placement.cpp
@@ -1,30 +1,41 @@
 #include "core/cell/placement.h"
 
+#include <algorithm>
 #include <cmath>
 #include <memory>
+#include <optional>
+#include <vector>
 
 namespace savorytrail::cell {
 namespace {
 
+using common::milliseconds;
+using real_milliseconds = std::chrono::duration<double, std::milli>;
+
 // A task is expected to end in time if this multiple of its expected duration fits into the time
 // left: tasks of one job differ, by 15% where it was observed, and predictions are inexact.
-constexpr double time_margin = 1.3;
+constexpr double time_margin = 1.4;
 // Speeds that differ by less are not told apart: executors of one kind never seem quite equal, and
 // would otherwise be filled in the order of their estimates instead of by the room they have.
 const double log_speed_step = std::log(1.15);
 
+// With the margin.
+real_milliseconds time_needed(const placement_request& request,
+                              const work::executor_info& executor) {
+    return request.expected * time_margin / request.speeds->current_speed(executor);
+}
+
 void add_cost_of_speed(const placement_request& request, const work::executor_info& executor,
                        placement_cost& cost) {
+    cost.is_late = time_needed(request, executor) > request.left;
     const double speed = request.speeds->current_speed(executor);
-    const auto took = static_cast<double>(request.expected.count()) / speed;
-    cost.is_late = took * time_margin > static_cast<double>(request.left.count());
     const int steps = static_cast<int>(std::lround(std::log(speed) / log_speed_step));
     cost.speed_steps = cost.is_late ? -steps : steps;
 }
 
-bool can_run(const placement_request& request, const executor_record& it) {
+bool suits(const placement_request& request, const executor_record& it) {
     const auto& step = *request.step;
-    if (it.info.upstream != *request.upstream || !it.free().covers(step.task_resources)) {
+    if (it.info.upstream != *request.upstream) {
         return false;
     }
     if (!step.required_label.empty() && !it.info.has_label(step.required_label)) {
@@ -34,6 +45,34 @@
            request.tasks_on_executor(it.info.id) < step.max_per_executor;
 }
 
+bool can_run(const placement_request& request, const executor_record& it) {
+    return it.free().covers(request.step->task_resources) && suits(request, it);
+}
+
+// When the runs there are expected to have left room for the task; nullopt if never, or unknown.
+std::optional<milliseconds> time_to_room(const work::resources& needed, const executor_record& it,
+                                         common::time_point now) {
+    std::vector<std::pair<milliseconds, work::resources>> ends;
+    for (const auto& [key, run] : it.runs) {
+        if (run.expected.count() == 0) {
+            return std::nullopt;
+        }
+        const auto so_far = std::chrono::duration_cast<milliseconds>(now - run.started_at);
+        // A run that has taken longer than expected may go on for as long as it is overdue.
+        ends.emplace_back(std::max(run.expected - so_far, so_far - run.expected), run.occupied);
+    }
+    std::sort(ends.begin(), ends.end(),
+              [](const auto& a, const auto& b) { return a.first < b.first; });
+    auto free = it.free();
+    for (const auto& [end, occupied] : ends) {
+        free += occupied;
+        if (free.covers(needed)) {
+            return end;
+        }
+    }
+    return std::nullopt;
+}
+
 placement_cost cost_on(const placement_request& request, const executor_record& it) {
     placement_cost cost;
     cost.is_avoided = it.info.id == *request.avoid;
@@ -48,22 +87,42 @@
 
 } // namespace
 
-const std::string* place(const placement_request& request,
-                         const std::map<std::string, std::unique_ptr<executor_record>>& executors,
-                         common::time_point now) {
-    const std::string* best = nullptr;
+placement place(const placement_request& request, const executor_map& executors,
+                common::time_point now) {
+    placement best;
     placement_cost lowest;
     for (const auto& [id, record] : executors) {
         if (!can_run(request, *record) || !record->accepts_work(now)) {
             continue;
         }
         const auto cost = cost_on(request, *record);
-        if (best == nullptr || cost < lowest) {
-            best = &id;
+        if (best.executor == nullptr || cost < lowest) {
+            best = {&id, cost.is_late};
             lowest = cost;
         }
     }
     return best;
 }
 
+const std::string* worth_waiting_for(const placement_request& request,
+                                     const executor_map& executors,
+                                     const std::vector<const std::string*>& awaited,
+                                     common::time_point now) {
+    const std::string* best = nullptr;
+    auto shortest = milliseconds::max();
+    for (const auto& [id, record] : executors) {
+        if (!suits(request, *record) || !record->accepts_work(now) || id == *request.avoid ||
+            std::find(awaited.begin(), awaited.end(), &id) != awaited.end()) {
+            continue;
+        }
+        const auto wait = time_to_room(request.step->task_resources, *record, now);
+        const auto took = time_needed(request, record->info);
+        if (wait && *wait < shortest && *wait * time_margin + took <= request.left) {
+            best = &id;
+            shortest = *wait;
+        }
+    }
+    return best;
+}
+
 } // namespace savorytrail::cell
--- a/source/core/cell/placement.h
+++ b/source/core/cell/placement.h
@@ -39,9 +39,24 @@
     auto operator<=>(const placement_cost&) const = default;
 };
 
-// Returns the executor's id, or nullptr if no executor can take the task now.
-const std::string* place(const placement_request& request,
-                         const std::map<std::string, std::unique_ptr<executor_record>>& executors,
-                         common::time_point now);
+struct placement {
+    const std::string* executor = nullptr; // its id, or nullptr if none can take the task now
+    bool is_late = false;                  // the task is not expected to end in time there
+
+    bool operator==(const placement&) const = default;
+};
+
+using executor_map = std::map<std::string, std::unique_ptr<executor_record>>;
+
+placement place(const placement_request& request, const executor_map& executors,
+                common::time_point now);
+
+// For a task that would be late where it can start now: the executor, not among `awaited`, that is
+// expected to have room soonest, and so soon that the task is on time there; nullptr if there is
+// none. Requires `speeds` in the request.
+const std::string* worth_waiting_for(const placement_request& request,
+                                     const executor_map& executors,
+                                     const std::vector<const std::string*>& awaited,
+                                     common::time_point now);
 
 } // namespace savorytrail::cell
--- a/source/core/cell/task_starter.cpp
+++ b/source/core/cell/task_starter.cpp
@@ -42,8 +42,14 @@
     return std::max(limit, std::min(extended, useful));
 }
 
-const std::string* task_starter::choose_executor(const job_record& job,
-                                                 const task_record& task) const {
+milliseconds task_starter::expected_duration(const work::step& step,
+                                             const task_record& task) const {
+    const auto& executor = m_executor_manager.executors().at(task.executor)->info;
+    return scaled(step.estimate, 1 / m_speeds.current_speed(executor));
+}
+
+std::pair<task_starter::attempt, const std::string*>
+task_starter::choose_executor(const job_record& job, const task_record& task) {
     placement_request request;
     request.step = &job.step_of(task);
     request.upstream = &job.job().queue.upstream;
@@ -62,29 +68,40 @@
                        other.executor == executor;
             }));
     };
-    return place(request, m_executor_manager.executors(), m_clock.now());
+    const auto& executors = m_executor_manager.executors();
+    const auto chosen = place(request, executors, m_clock.now());
+    if (chosen.is_late) {
+        // A slow executor takes the longer, the longer the task is, a fast one is soon free again.
+        const auto* awaited = worth_waiting_for(request, executors, m_awaited, m_clock.now());
+        if (awaited != nullptr) {
+            m_awaited.push_back(awaited);
+            return {attempt::held, nullptr};
+        }
+    }
+    return {chosen.executor == nullptr ? attempt::no_room : attempt::started, chosen.executor};
 }
 
-bool task_starter::start(job_record& job, task_record& task) {
+task_starter::attempt task_starter::start(job_record& job, task_record& task) {
     const auto id = job.id_of(task);
     if (m_stopping_runs.contains(id)) {
-        return false;
+        return attempt::no_room;
     }
-    const auto* executor = choose_executor(job, task);
+    const auto [result, executor] = choose_executor(job, task);
     if (executor == nullptr) {
-        return false;
+        return result;
     }
     const auto& step = job.step_of(task);
     task.last_run_number++;
     task.executor = *executor;
     if (!m_executor_manager.start(*executor, {id, task.last_run_number}, step.task_resources,
-                                  time_limit(job, task), job.job().payload)) {
+                                  time_limit(job, task), job.job().payload,
+                                  expected_duration(step, task))) {
         task.last_run_number--;
-        return false;
+        return attempt::no_room;
     }
     job.set_state(task, task_state::active);
     job.note_start();
-    return true;
+    return attempt::started;
 }
 
 std::vector<const task_record*> task_starter::start_waiting_tasks(job_record& job) {
@@ -94,10 +111,15 @@
         if (task.state != task_state::waiting || task.step == full_step) {
             continue;
         }
-        if (start(job, task)) {
+        switch (start(job, task)) {
+        case attempt::started:
             started.push_back(&task);
-        } else {
+            break;
+        case attempt::no_room:
             full_step = task.step;
+            break;
+        case attempt::held:
+            break;
         }
     }
     return started;
--- a/source/core/cell/task_starter.h
+++ b/source/core/cell/task_starter.h
@@ -20,13 +20,20 @@
         : m_limits(by), m_clock(clock), m_executor_manager(manager), m_stopping_runs(stopping),
           m_durations(durations), m_speeds(speeds) {}
 
+    // To be called before the waiting jobs are gone through, the first ones first.
+    void begin_round() { m_awaited.clear(); }
     // Starts as many of the job's waiting tasks as there is room for now, and returns them.
     std::vector<const task_record*> start_waiting_tasks(job_record& job);
 
 private:
-    bool start(job_record& job, task_record& task);
-    // An executor for the task, or nullptr.
-    const std::string* choose_executor(const job_record& job, const task_record& task) const;
+    enum class attempt { started, no_room, held };
+
+    attempt start(job_record& job, task_record& task);
+    // An executor for the task; `held` if the task should rather wait for a faster one.
+    std::pair<attempt, const std::string*> choose_executor(const job_record& job,
+                                                           const task_record& task);
+    // On the executor of the run.
+    common::milliseconds expected_duration(const work::step& step, const task_record& task) const;
     common::milliseconds time_limit(const job_record& job, const task_record& task) const;
 
     const limits& m_limits;
@@ -35,6 +42,8 @@
     const stopping_runs& m_stopping_runs;
     const duration_model& m_durations;
     const executor_speeds& m_speeds;
+    // Executors that tasks of this round wait for, one each.
+    std::vector<const std::string*> m_awaited;
 };
 
 } // namespace savorytrail::cell
