Learnt speeds: failure cases, and what others tell in rows and heartbeats

A slow phase flapped, as single runs scatter around the threshold: an executor that had become three times as slow was never accepted as slow. Its speed counts as regained at half the threshold only, and an accepted slow speed is taken over at once. A wrong value of another cell was corrected too slowly (a factor of 2 after 800 runs in the whole cell): observations that contradict it reduce its weight. Malformed values in a row are decoded to ones that are ignored.

--- a/source/core/cell/executor_speed.cpp
+++ b/source/core/cell/executor_speed.cpp
@@ -157,7 +157,8 @@
 
 executor_speeds::change executor_speeds::note_pace(executor_state& it, std::string_view job,
                                                    double excess) {
-    if (excess < slow_threshold()) {
+    // With some distance between the two, as single runs scatter.
+    if (excess < (it.is_turned_slow ? slow_threshold() / 2 : slow_threshold())) {
         it.slow_jobs = 0;
         it.slow_runs = 0;
         it.last_slow_job = 0;
@@ -171,12 +172,13 @@
     it.slow_jobs += hash == it.last_slow_job ? 0 : 1;
     it.last_slow_job = hash;
     it.slow_runs++;
+    it.slow_excess += (std::min(excess, max_log_speed) - it.slow_excess) / it.slow_runs;
     if (it.is_turned_slow && it.slow_runs >= m_limits.slow_runs_accepted) {
         it.is_turned_slow = false;
         m_turned_slow--;
         it.slow_jobs = 0;
         it.slow_runs = 0;
-        it.weight = 0; // learns the new speed as fast as at first
+        it.deviation -= it.slow_excess;
         return change::speed_accepted;
     }
     if (!it.is_turned_slow && it.slow_jobs >= m_limits.slow_jobs && may_turn_slow(it)) {
@@ -190,7 +192,12 @@
 void executor_speeds::learn(executor_state& it, double residual, double weight) {
     const double noise = noise_variance();
     auto& kind = m_kinds[it.kind];
-    const double limit = kind.weight < m_limits.known_after ? max_first_residual : max_residual;
+    const double limit =
+        kind.weight < m_limits.kind_known_after ? max_first_residual : max_residual;
+    if (std::abs(residual) > max_residual) {
+        // Contradicts what others have told.
+        kind.prior_weight = std::max(kind.prior_weight - 1, 0.0);
+    }
     const double bounded = std::clamp(residual, -limit, limit);
     kind.weight = std::min(kind.weight + weight, max_kind_weight);
     it.weight = std::min(it.weight + weight, max_executor_weight);
@@ -219,7 +226,7 @@
     const double bounded = std::clamp(raw, -max_first_residual, max_first_residual);
     m_level += (bounded - m_level) / std::min(m_observations, max_level_weight);
     const double residual = raw - m_level;
-    const double clamped = std::clamp(residual, -max_first_residual, max_first_residual);
+    const double clamped = std::clamp(residual, -max_residual, max_residual);
     m_residual_variance +=
         (clamped * clamped - m_residual_variance) / std::min(m_observations, max_kind_weight);
     const auto ms = static_cast<double>(std::max<std::int64_t>(took.count(), 1));
--- a/source/core/cell/executor_speed.h
+++ b/source/core/cell/executor_speed.h
@@ -118,6 +118,7 @@
         common::time_point left_at; // if it is not a member
         int slow_jobs = 0;          // in a row
         int slow_runs = 0;
+        double slow_excess = 0; // mean logarithm of what they took against what was expected
         std::size_t last_slow_job = 0; // a hash
         bool is_turned_slow = false;
     };
--- a/source/unit_tests/platform_adapter/codec_test.cpp
+++ b/source/unit_tests/platform_adapter/codec_test.cpp
@@ -1,4 +1,5 @@
 // Tests of the codecs between the platform's formats and the product's types.
+#include <cmath>
 #include <gtest/gtest.h>
 
 #include "platform/entry_settings.h"
@@ -267,16 +268,50 @@
 }
 
 TEST(entry_rows, survive_encoding_and_decoding) {
-    const entry_row it{{"front-1", "a", "10.0.0.1"}, {{"q", std::chrono::milliseconds(1800)}}};
+    const entry_row it{{"front-1", "a", "10.0.0.1"},
+                       {{"q", std::chrono::milliseconds(1800)}},
+                       {{0xfedcba9876543210U, -0.35, 120}, {7, 0.5, 300}}};
     EXPECT_EQ(decode_entry(encode_entry(it)), it);
-    // A row without learnt patience.
+    // A row of an entry that has learnt nothing, or of an earlier version.
     EXPECT_EQ(decode_entry(R"({"name":"front-1","domain":"a","host":"10.0.0.1"})"),
-              (entry_row{{"front-1", "a", "10.0.0.1"}, {}}));
+              (entry_row{{"front-1", "a", "10.0.0.1"}, {}, {}}));
+    EXPECT_EQ(encode_entry({{"n", "a", "h"}, {}, {}}).find("kind_speeds"), std::string::npos);
     EXPECT_FALSE(decode_entry(R"({"name":"front-1"})"));
     EXPECT_FALSE(
         decode_entry(R"({"name":"n","domain":"a","host":"h","patience_ms":{"q":"soon"}})"));
     EXPECT_FALSE(decode_entry(R"({"name":"n","domain":"a","host":"h","patience_ms":7})"));
 }
 
+// A malformed speed must cost neither the row, which names an entry, nor the process.
+class malformed_speeds : public testing::TestWithParam<const char*> {};
+
+TEST_P(malformed_speeds, are_decoded_to_values_that_are_not_finite) {
+    const std::string value = GetParam();
+    const auto it = decode_entry(R"({"name":"n","domain":"a","host":"h","kind_speeds":[)" + value +
+                                 R"(,{"kind":"7","log_speed":0.5,"weight":3}]})");
+    ASSERT_TRUE(it);
+    ASSERT_EQ(it->kind_speeds.size(), 2U);
+    EXPECT_TRUE(std::isnan(it->kind_speeds[0].log_speed));
+    EXPECT_EQ(it->kind_speeds[1], (fleet::kind_speed{7, 0.5, 3}));
+}
+
+INSTANTIATE_TEST_SUITE_P(entry_rows, malformed_speeds,
+                         testing::Values("7", "null", "[]", "{}",
+                                         R"({"kind":7,"log_speed":0,"weight":1})",
+                                         R"({"kind":"xyz","log_speed":0,"weight":1})",
+                                         R"({"kind":"7","log_speed":"fast","weight":1})",
+                                         R"({"kind":"7","log_speed":0,"weight":-1})",
+                                         R"({"kind":"7","log_speed":0,"weight":1e30})",
+                                         R"({"kind":"7","log_speed":null,"weight":1})"));
+
+TEST(entry_rows, take_speeds_that_are_no_list_for_none) {
+    for (const char* const value : {"7", R"("fast")", "null"}) {
+        const auto it = decode_entry(R"({"name":"n","domain":"a","host":"h","kind_speeds":)" +
+                                     std::string(value) + "}");
+        ASSERT_TRUE(it) << value;
+        EXPECT_LE(it->kind_speeds.size(), 1U) << value;
+    }
+}
+
 } // namespace
 } // namespace savorytrail::platform_adapter
