--- a/source/core/cell/executor_manager.cpp
+++ b/source/core/cell/executor_manager.cpp
@@ -211,7 +211,7 @@
 
 bool executor_manager::start(const std::string& executor, const work::run_key& run,
                              work::resources occupied, milliseconds time_limit,
-                             const std::string& payload) {
+                             const std::string& payload, milliseconds expected) {
     auto* it = find(executor);
     if (it == nullptr || was_suspended() || m_stalls.is_catching_up() ||
         !it->accepts_work(m_clock.now()) || !it->free().covers(occupied)) {
@@ -221,6 +221,7 @@
     record.occupied = occupied;
     record.payload = payload;
     record.time_limit = time_limit;
+    record.expected = expected;
     record.started_at = m_clock.now();
     const auto left = std::chrono::duration_cast<milliseconds>(
         std::min(m_listener->may_run_until(run), m_clock.now() + m_limits.longest_lease) -
@@ -309,6 +310,30 @@
     }
 }
 
+void executor_manager::note_pace(const std::string& executor, executor_speeds::change change) {
+    auto* it = find(executor);
+    if (it == nullptr) {
+        return;
+    }
+    switch (change) {
+    case executor_speeds::change::turned_slow:
+        m_observer.executor_changed(executor, "executor_slowed",
+                                    "runs of several jobs took far longer than usual there");
+        break;
+    case executor_speeds::change::speed_regained:
+        m_observer.executor_changed(executor, "executor_speed_regained",
+                                    "a run took as long as usual there");
+        return;
+    case executor_speeds::change::speed_accepted:
+        m_observer.executor_changed(executor, "executor_speed_accepted",
+                                    "it was slow for so many runs that its speed is learnt anew");
+        return;
+    case executor_speeds::change::none:
+        break;
+    }
+    it->health.put_on_probation();
+}
+
 void executor_manager::finish_run(executor_record& it, const work::run_key& key, run_result result,
                                   order_status status) {
     const auto found = it.runs.find(key);
--- a/source/core/cell/placement.h
+++ b/source/core/cell/placement.h
@@ -1,5 +1,8 @@
 // Chooses an executor for a task. Executors in the rack of the task's data come first, then best
-// fit: the executor with the least CPU left, so that large tasks still fit elsewhere.
+// fit: the executor with the least CPU left, so that large tasks still fit elsewhere. Where the
+// speeds of executors differ, those on which the task can be expected to end in time come before
+// the others; among the former the slowest is chosen, so that the fast ones stay free for tasks
+// with little time left, and among the latter the fastest.
 #pragma once
 
 #include <compare>
@@ -9,6 +12,7 @@
 #include <string>
 
 #include "core/cell/executor_record.h"
+#include "core/cell/executor_speed.h"
 #include "core/work/job.h"
 
 namespace savorytrail::cell {
@@ -20,6 +24,9 @@
     std::function<int(const std::string& executor)>
         tasks_on_executor; // active tasks of the step there, for its max_per_executor
     std::function<bool(const std::string& failure_domain)> has_begun_in; // the task's job
+    const executor_speeds* speeds = nullptr; // nullptr where they do not differ
+    common::milliseconds expected{0};        // duration at speed 1
+    common::milliseconds left{0};            // until the task must have ended to be on time
 };
 
 // What speaks against an executor, the weightiest first: the lowest cost is chosen.
@@ -28,14 +35,31 @@
     bool is_avoided = false;
     bool is_on_other_rack = false;
     bool is_cold = false;             // slow after its start
+    bool is_late = false;             // not expected to end in time there, with a margin
+    int speed_steps = 0;              // slower where the task is on time, faster where it is late
     std::int64_t cpu_millis_left = 0; // after the task has started
 
     auto operator<=>(const placement_cost&) const = default;
 };
 
-// Returns the executor's id, or nullptr if no executor can take the task now.
-const std::string* place(const placement_request& request,
-                         const std::map<std::string, std::unique_ptr<executor_record>>& executors,
-                         common::time_point now);
+struct placement {
+    const std::string* executor = nullptr; // its id, or nullptr if none can take the task now
+    bool is_late = false;                  // the task is not expected to end in time there
+
+    bool operator==(const placement&) const = default;
+};
+
+using executor_map = std::map<std::string, std::unique_ptr<executor_record>>;
+
+placement place(const placement_request& request, const executor_map& executors,
+                common::time_point now);
+
+// For a task that would be late where it can start now: the executor, not among `awaited`, that is
+// expected to have room soonest, and so soon that the task is on time there; nullptr if there is
+// none. Requires `speeds` in the request.
+const std::string* worth_waiting_for(const placement_request& request,
+                                     const executor_map& executors,
+                                     const std::vector<const std::string*>& awaited,
+                                     common::time_point now);
 
 } // namespace savorytrail::cell
--- a/source/core/cell/task_starter.cpp
+++ b/source/core/cell/task_starter.cpp
@@ -8,20 +8,60 @@
 
 using common::milliseconds;
 
-milliseconds task_starter::time_limit(const work::step& step, const task_record& task) const {
+namespace {
+
+milliseconds scaled(milliseconds it, double factor) {
+    return milliseconds(static_cast<std::int64_t>(static_cast<double>(it.count()) * factor));
+}
+
+} // namespace
+
+milliseconds task_starter::time_limit(const job_record& job, const task_record& task) const {
     const double factor =
         m_limits.stuck_factor * static_cast<double>(1 << std::min(task.lost_runs, 4));
-    const auto estimate = static_cast<double>(std::max<std::int64_t>(step.estimate.count(), 1));
-    return milliseconds(static_cast<std::int64_t>(estimate * factor)) + m_limits.stuck_grace;
+    const auto predicted = std::max(job.step_of(task).estimate, milliseconds(1));
+    const auto limit = scaled(predicted, factor) + m_limits.stuck_grace;
+    const auto& executor = m_executor_manager.executors().at(task.executor)->info;
+    const double speed = m_speeds.cautious_speed(executor);
+    if (speed == 1 && !m_speeds.do_differ()) {
+        return limit;
+    }
+    // On a slow executor, a task that takes many times as long as usual is far beyond a limit by
+    // the prediction, which is shrunk towards the usual.
+    const auto& queue = job.job().queue;
+    const auto longest = std::max(
+        predicted, m_durations.cautious_duration(queue.name, job.caller_estimate(task.step)));
+    const auto extended = scaled(longest, factor / speed) + m_limits.stuck_grace;
+    // If the run hangs, another one must still be of use to the caller.
+    const auto useful_until =
+        std::min(job.late_until() +
+                     scaled(longest - predicted, m_limits.late_factor * queue.stretch),
+                 job.give_up_at()) -
+        longest;
+    const auto useful = std::chrono::duration_cast<milliseconds>(useful_until - m_clock.now());
+    return std::max(limit, std::min(extended, useful));
 }
 
-const std::string* task_starter::choose_executor(const job_record& job,
-                                                 const task_record& task) const {
+milliseconds task_starter::expected_duration(const work::step& step,
+                                             const task_record& task) const {
+    const auto& executor = m_executor_manager.executors().at(task.executor)->info;
+    return scaled(step.estimate, 1 / m_speeds.current_speed(executor));
+}
+
+std::pair<task_starter::attempt, const std::string*>
+task_starter::choose_executor(const job_record& job, const task_record& task) {
     placement_request request;
     request.step = &job.step_of(task);
     request.upstream = &job.job().queue.upstream;
     request.avoid = &task.avoid;
     request.has_begun_in = [&](const std::string& domain) { return has_begun_in(job, domain); };
+    if (m_speeds.do_differ()) {
+        request.speeds = &m_speeds;
+        request.expected = request.step->estimate;
+        request.left =
+            std::chrono::duration_cast<milliseconds>(job.on_time_until() - m_clock.now()) -
+            job.job().path_length_after(task.step);
+    }
     request.tasks_on_executor = [&](const std::string& executor) {
         return static_cast<int>(
             std::count_if(job.tasks().begin(), job.tasks().end(), [&](const task_record& other) {
@@ -29,29 +69,40 @@
                        other.executor == executor;
             }));
     };
-    return place(request, m_executor_manager.executors(), m_clock.now());
+    const auto& executors = m_executor_manager.executors();
+    const auto chosen = place(request, executors, m_clock.now());
+    if (chosen.is_late) {
+        // A slow executor takes the longer, the longer the task is, a fast one is soon free again.
+        const auto* awaited = worth_waiting_for(request, executors, m_awaited, m_clock.now());
+        if (awaited != nullptr) {
+            m_awaited.push_back(awaited);
+            return {attempt::held, nullptr};
+        }
+    }
+    return {chosen.executor == nullptr ? attempt::no_room : attempt::started, chosen.executor};
 }
 
-bool task_starter::start(job_record& job, task_record& task) {
+task_starter::attempt task_starter::start(job_record& job, task_record& task) {
     const auto id = job.id_of(task);
     if (m_stopping_runs.contains(id)) {
-        return false;
+        return attempt::no_room;
     }
-    const auto* executor = choose_executor(job, task);
+    const auto [result, executor] = choose_executor(job, task);
     if (executor == nullptr) {
-        return false;
+        return result;
     }
     const auto& step = job.step_of(task);
     task.last_run_number++;
     task.executor = *executor;
     if (!m_executor_manager.start(*executor, {id, task.last_run_number}, step.task_resources,
-                                  time_limit(step, task), job.job().payload)) {
+                                  time_limit(job, task), job.job().payload,
+                                  expected_duration(step, task))) {
         task.last_run_number--;
-        return false;
+        return attempt::no_room;
     }
     job.set_state(task, task_state::active);
     job.note_start();
-    return true;
+    return attempt::started;
 }
 
 bool task_starter::has_begun_in(const job_record& job, const std::string& domain) const {
@@ -82,10 +133,15 @@
         if (task.state != task_state::waiting || task.step == full_step) {
             continue;
         }
-        if (start(job, task)) {
+        switch (start(job, task)) {
+        case attempt::started:
             started.push_back(&task);
-        } else {
+            break;
+        case attempt::no_room:
             full_step = task.step;
+            break;
+        case attempt::held:
+            break;
         }
     }
     return started;
--- a/source/core/cell/task_starter.h
+++ b/source/core/cell/task_starter.h
@@ -4,7 +4,9 @@
 
 #include <vector>
 
+#include "core/cell/duration_model.h"
 #include "core/cell/executor_manager.h"
+#include "core/cell/executor_speed.h"
 #include "core/cell/job_record.h"
 #include "core/cell/stopping_runs.h"
 
@@ -13,9 +15,13 @@
 class task_starter {
 public:
     task_starter(const limits& by, const common::clock& clock, executor_manager& manager,
-                 const stopping_runs& stopping)
-        : m_limits(by), m_clock(clock), m_executor_manager(manager), m_stopping_runs(stopping) {}
+                 const stopping_runs& stopping, const duration_model& durations,
+                 const executor_speeds& speeds)
+        : m_limits(by), m_clock(clock), m_executor_manager(manager), m_stopping_runs(stopping),
+          m_durations(durations), m_speeds(speeds) {}
 
+    // To be called before the waiting jobs are gone through, the first ones first.
+    void begin_round() { m_awaited.clear(); }
     // Starts as many of the job's waiting tasks as there is room for now, and returns them.
     std::vector<const task_record*> start_waiting_tasks(job_record& job);
     // Whether the failure domain of any executor lets the job start tasks.
@@ -23,15 +29,24 @@
 
 private:
     bool has_begun_in(const job_record& job, const std::string& domain) const;
-    bool start(job_record& job, task_record& task);
-    // An executor for the task, or nullptr.
-    const std::string* choose_executor(const job_record& job, const task_record& task) const;
-    common::milliseconds time_limit(const work::step& step, const task_record& task) const;
+    enum class attempt { started, no_room, held };
+
+    attempt start(job_record& job, task_record& task);
+    // An executor for the task; `held` if the task should rather wait for a faster one.
+    std::pair<attempt, const std::string*> choose_executor(const job_record& job,
+                                                           const task_record& task);
+    // On the executor of the run.
+    common::milliseconds expected_duration(const work::step& step, const task_record& task) const;
+    common::milliseconds time_limit(const job_record& job, const task_record& task) const;
 
     const limits& m_limits;
     const common::clock& m_clock;
     executor_manager& m_executor_manager;
     const stopping_runs& m_stopping_runs;
+    const duration_model& m_durations;
+    const executor_speeds& m_speeds;
+    // Executors that tasks of this round wait for, one each.
+    std::vector<const std::string*> m_awaited;
 };
 
 } // namespace savorytrail::cell
