Admission: jobs that fit into unclaimed room need no share

Retry-After was a constant second. A job whose tasks fit no executor waited until it was too late.

Change: when a job would be refused as late or for its queue's share, the cell counts the tasks of its first steps that fit now, by executor and with their real resources, after the waiting jobs have taken what they can use (cell/free_room). If all fit, the job is admitted. The share is charged all the same. A job that no executor of the cell can hold is refused at once. A job that another cell has refused before is not recorded as offered again, and one refused as too late is recorded. Waits are bounded, so that no number overflows.

--- a/source/core/cell/admission.h
+++ b/source/core/cell/admission.h
@@ -1,31 +1,68 @@
-// Decides whether a cell takes a job: not if no executor takes work, if the job could not end in
-// time behind the jobs that go first, or if its queue has had its share under overload.
+// Decides whether a cell takes a job: not if no executor takes work or is large enough, if the job
+// could not end in time behind the jobs that go first, or if its queue has had its share under
+// overload. A job that fits into room that no waiting job can use neither waits nor needs a share.
 #pragma once
 
+#include <functional>
+#include <string>
+#include <string_view>
+
 #include "core/cell/fair_admission.h"
+#include "core/cell/free_room.h"
 #include "core/cell/job_record.h"
+#include "core/cell/retry_after.h"
 
 namespace savorytrail::cell {
 
-// Minimum retry delay sent to a caller whose job was refused or given up.
-constexpr common::milliseconds min_retry_after{1000};
-
 // What a cell knows when a job arrives. Work is CPU time, in thousandths of a core x milliseconds.
 struct admission_view {
     double capacity = 0;     // effective, in thousandths of a core
     double work_ahead = 0;   // of waiting jobs that go before the candidate
     double work_waiting = 0; // of all waiting jobs
+    bool has_fitting_executors = true;
 
     bool operator==(const admission_view&) const = default;
 };
 
+// Why a job was refused, or given up before it ran.
+enum class refusal_cause : std::uint8_t {
+    no_executors,  // no executor takes work
+    none_fits,     // no executor is large enough or has the label
+    too_late,      // it could not end in time behind the jobs that go first
+    share,         // overload, and its queue had its share
+    late_overload, // it waited until it was late, and there was overload
+    not_started,   // no executor became free in time
+    patience,      // its caller's patience ended
+    not_renewed,   // the entry of its caller does not confirm that the caller waits
+    suspended,     // this VM stood still
+    no_dispatcher, // no dispatcher can be reached
+    no_cell,       // no cell has room, or a backlog that the job could wait for
+};
+
+std::string_view to_string(refusal_cause cause);
+
+struct refusal {
+    refusal_cause cause = refusal_cause::no_executors;
+    work::outcome outcome;
+    job_room room;
+
+    bool operator==(const refusal&) const = default;
+};
+
+// The time in which the capacity does the work, in ms; 0 for absurd numbers.
+double milliseconds_for(double work, double capacity);
+
 class admission {
 public:
+    // Counts the room for the candidate; called only when it matters.
+    using room_counter = std::function<job_room()>;
+
     explicit admission(fair_limits limits) : m_fairness(limits) {}
 
-    // Returns why the job is refused, or nullopt if it is taken. Records it as offered.
-    std::optional<work::outcome> refuse(const job_record& candidate, const admission_view& view,
-                                        common::time_point now);
+    // Returns why the job is refused, or nullopt if it is taken. Records its work as offered,
+    // unless another cell has recorded it before.
+    std::optional<refusal> check(const job_record& candidate, const admission_view& view,
+                                 const room_counter& count_room, common::time_point now);
     bool is_overloaded(double capacity, common::time_point now) const {
         return m_fairness.is_overloaded(capacity, now);
     }
--- a/source/core/cell/dispatcher.cpp
+++ b/source/core/cell/dispatcher.cpp
@@ -85,9 +85,11 @@
         return ticket;
     }
     job_record record(m_durations.with_predicted_durations(job), job, m_limits, m_clock.now());
-    if (const auto refusal = m_admission.refuse(record, view_for(record), m_clock.now())) {
-        m_observer.job_event(job.id, "job_refused", refusal->reason);
-        first.done(*refusal);
+    const auto view = view_for(record);
+    const auto count_room = [&] { return room_of(record); };
+    if (const auto refusal = m_admission.check(record, view, count_room, m_clock.now())) {
+        m_observer.job_event(job.id, "job_refused", refusal->outcome.reason);
+        first.done(refusal->outcome);
         return ticket;
     }
     record.waiters.push_back(std::move(first));
@@ -125,6 +127,8 @@
     const auto candidate_rank = rank_of(candidate, now);
     admission_view view;
     view.capacity = effective_capacity();
+    view.has_fitting_executors =
+        has_fitting_executors(candidate.job(), m_executor_manager.executors());
     for (const auto& it : m_jobs) {
         const double work = it.waiting_cpu_demand();
         view.work_waiting += work;
@@ -135,6 +139,14 @@
     return view;
 }
 
+job_room dispatcher::room_of(const job_record& job) const {
+    return room_for(job, m_jobs, m_executor_manager.executors(), m_clock.now());
+}
+
+milliseconds dispatcher::retry_after() const {
+    return retry_after_for(static_cast<double>(load().backlog_ms));
+}
+
 void dispatcher::abandon(std::uint64_t ticket) {
     for (auto job = m_jobs.begin(); job != m_jobs.end(); ++job) {
         auto& waiters = job->waiters;
@@ -200,7 +212,7 @@
     const auto end = job.may_have_run() ? work::job_end::given_up : work::job_end::not_run;
     m_observer.job_event(job.job().id,
                          end == work::job_end::given_up ? "job_given_up" : "job_refused", reason);
-    return {end, reason, min_retry_after};
+    return {end, reason, retry_after()};
 }
 
 void dispatcher::give_up(job_list::iterator job, const std::string& reason) {
@@ -237,7 +249,7 @@
     waiters.erase(rest, waiters.end());
     m_observer.job_event(job->job().id, "job_lease_ended", unrenewed);
     for (const auto& it : removed) {
-        it.done({work::job_end::given_up, unrenewed, min_retry_after});
+        it.done({work::job_end::given_up, unrenewed, retry_after()});
     }
     return false;
 }
@@ -399,9 +411,9 @@
 cell_load dispatcher::load() const {
     auto sum = load_of(m_executor_manager.executors(), m_typical_task_cpu_millis, m_clock.now());
     if (sum.capacity_cpu_millis > 0) {
-        sum.backlog_ms = static_cast<std::int64_t>(
-            waiting_cpu_demand() /
-            m_capacity_meter.effective(static_cast<double>(sum.capacity_cpu_millis)));
+        sum.backlog_ms = static_cast<std::int64_t>(milliseconds_for(
+            waiting_cpu_demand(),
+            m_capacity_meter.effective(static_cast<double>(sum.capacity_cpu_millis))));
     }
     return sum;
 }
--- a/source/core/cell/dispatcher.h
+++ b/source/core/cell/dispatcher.h
@@ -95,6 +95,8 @@
     void note_stopped_run(const work::task_id& task, run_result result);
     void on_failure(job_list::iterator job, task_record& task);
     admission_view view_for(const job_record& candidate) const;
+    job_room room_of(const job_record& job) const;
+    common::milliseconds retry_after() const;
     void note_task_sizes(const work::job& job);
     double waiting_cpu_demand() const;
     double effective_capacity() const;
--- a/source/core/cell/fair_admission.cpp
+++ b/source/core/cell/fair_admission.cpp
@@ -49,22 +49,35 @@
     return max_min_level(offers, capacity * m_limits.target_utilization);
 }
 
-bool fair_admission::admit(const std::string& queue, double cpu_demand, double capacity,
+bool fair_admission::offer(const std::string& queue, double cpu_demand, double capacity,
                            common::milliseconds wait, common::time_point now) {
     auto& it = m_accounts[queue];
     const double rate = fair_rate(capacity, now);
     const auto window = static_cast<double>(m_limits.window.count());
     const double elapsed_ms = std::min(to_milliseconds(now - it.at), window);
-    const double max_tokens = capacity * static_cast<double>(m_limits.burst.count());
-    it.tokens = std::min(it.tokens + rate * elapsed_ms, max_tokens);
-    it.offered = offered(it, now) * window + cpu_demand;
+    it.tokens = std::min(it.tokens + rate * elapsed_ms, max_tokens(capacity));
+    it.offered = offered(it, now) * window + std::max(cpu_demand, 0.0);
     it.at = now;
     const bool is_limiting = wait > m_limits.tolerated_wait && is_overloaded(capacity, now);
-    if (is_limiting && it.tokens <= 0) {
-        return false;
+    return !is_limiting || it.tokens > 0;
+}
+
+void fair_admission::charge(const std::string& queue, double cpu_demand, double capacity) {
+    auto& it = m_accounts[queue];
+    it.tokens = std::max(it.tokens - std::max(cpu_demand, 0.0), -max_tokens(capacity));
+}
+
+double fair_admission::max_tokens(double capacity) const {
+    return capacity * static_cast<double>(m_limits.burst.count());
+}
+
+bool fair_admission::admit(const std::string& queue, double cpu_demand, double capacity,
+                           common::milliseconds wait, common::time_point now) {
+    const bool is_admitted = offer(queue, cpu_demand, capacity, wait, now);
+    if (is_admitted) {
+        charge(queue, cpu_demand, capacity);
     }
-    it.tokens = std::max(it.tokens - cpu_demand, -max_tokens);
-    return true;
+    return is_admitted;
 }
 
 } // namespace savorytrail::cell
--- a/source/core/cell/fair_admission.h
+++ b/source/core/cell/fair_admission.h
@@ -29,11 +29,19 @@
 public:
     explicit fair_admission(fair_limits limits) : m_limits(limits) {}
 
-    // Decides on a job and records it as offered. `capacity`: effective capacity in thousandths of
-    // a core. `wait`: the time that the executors need for the waiting work.
+    // Decides on a job, records it as offered and charges its queue if it is admitted. `capacity`:
+    // effective capacity in thousandths of a core. `wait`: the time that the executors need for the
+    // waiting work.
     bool admit(const std::string& queue, double cpu_demand, double capacity,
                common::milliseconds wait, common::time_point now);
 
+    // Records work as offered; returns whether the queue has a share left for a job, or needs none
+    // because there is no overload. `cpu_demand` is 0 for a job that another cell has recorded.
+    bool offer(const std::string& queue, double cpu_demand, double capacity,
+               common::milliseconds wait, common::time_point now);
+    // Charges a queue for an admitted job.
+    void charge(const std::string& queue, double cpu_demand, double capacity);
+
     // Whether recently offered work exceeds the target utilization of the capacity.
     bool is_overloaded(double capacity, common::time_point now) const;
 
@@ -44,6 +52,7 @@
         common::time_point at;
     };
 
+    double max_tokens(double capacity) const;
     double offered(const account& it, common::time_point now) const;
     // The rate that each queue may use.
     double fair_rate(double capacity, common::time_point now) const;
--- a/source/core/work/job.h
+++ b/source/core/work/job.h
@@ -47,6 +47,7 @@
     queue_settings queue;
     common::milliseconds patience{0}; // how long the caller still waits for the answer
     common::milliseconds waited{0};   // lower bound of the time since the caller first sent it
+    int earlier_offers = 0;           // of this request, that cells have refused
 
     bool operator==(const job&) const = default;
 
