Forwarded jobs carry the number of earlier offers

Cause: each cell recorded the work of a job that it was offered as offered afresh, so that a job refused by three cells counted three times, and cells believed in overload for longer than there was one.

Durations and counts of forwarded jobs and outcomes are bounded when they are decoded, because greater ones overflow when they are added to a point in time.

--- a/source/core/gateway/forwarding_codec.cpp
+++ b/source/core/gateway/forwarding_codec.cpp
@@ -1,5 +1,8 @@
 #include "core/gateway/forwarding_codec.h"
 
+#include <algorithm>
+
+#include "core/cell/retry_after.h"
 #include "fleet.pb.h"
 
 namespace savorytrail::gateway {
@@ -7,6 +10,14 @@
 
 using common::milliseconds;
 
+constexpr std::uint32_t max_earlier_offers = 1000;
+
+// Durations beyond a day are malformed, and would overflow when added to a point in time.
+milliseconds bounded(std::int64_t ms) {
+    constexpr std::int64_t longest_ms = 86'400'000;
+    return milliseconds(std::clamp<std::int64_t>(ms, 0, longest_ms));
+}
+
 void encode_step(const work::step& it, schema::passed_step* out) {
     out->set_tasks(it.tasks);
     out->set_cpu_millis(it.task_resources.cpu_millis);
@@ -26,7 +37,7 @@
     work::step step;
     step.tasks = it.tasks();
     step.task_resources = {it.cpu_millis(), it.memory_mb(), it.accelerators()};
-    step.estimate = milliseconds(it.estimate_ms());
+    step.estimate = bounded(it.estimate_ms());
     step.depends_on.assign(it.after().begin(), it.after().end());
     step.required_label = it.required_label();
     step.preferred_rack = it.preferred_rack();
@@ -54,6 +65,7 @@
     message.set_patience_ms(it.job.patience.count());
     message.set_waited_ms(it.job.waited.count());
     message.set_from(it.from);
+    message.set_earlier_offers(static_cast<std::uint32_t>(std::max(it.job.earlier_offers, 0)));
     message.set_number(it.number);
     message.set_from_incarnation(it.from_incarnation);
     if (it.stamp) {
@@ -75,9 +87,11 @@
         it.job.steps.push_back(decode_step(step));
     }
     it.job.queue = {message.queue(),        message.upstream(), message.priority(),
-                    message.max_attempts(), message.stretch(),  milliseconds(message.target_ms())};
-    it.job.patience = milliseconds(message.patience_ms());
-    it.job.waited = milliseconds(message.waited_ms());
+                    message.max_attempts(), message.stretch(),  bounded(message.target_ms())};
+    it.job.patience = bounded(message.patience_ms());
+    it.job.waited = bounded(message.waited_ms());
+    it.job.earlier_offers =
+        static_cast<int>(std::min<std::uint32_t>(message.earlier_offers(), max_earlier_offers));
     it.from = message.from();
     it.number = message.number();
     it.from_incarnation = message.from_incarnation();
@@ -102,8 +116,10 @@
         message.end() > static_cast<std::int32_t>(work::job_end::given_up)) {
         return std::nullopt;
     }
-    return work::outcome{static_cast<work::job_end>(message.end()), message.reason(),
-                         milliseconds(message.retry_after_ms()), message.lacked_executors()};
+    return work::outcome{
+        static_cast<work::job_end>(message.end()), message.reason(),
+        std::clamp(milliseconds(message.retry_after_ms()), milliseconds(0), cell::max_retry_after),
+        message.lacked_executors()};
 }
 
 std::string encode(const abandoned_job& it) {
