Gateway: offer a refused job where there is room, and only there

Cause: after a refusal a job went to two more cells whatever their load said, and was refused although further cells had room. Each offer costs processor time of small VMs under overload. What had been forwarded and refused counted as occupying its cell until the next heartbeat. Retry-After was a constant.

Change: after a refusal a job is offered to a cell whose published usable capacity, less what was sent since, holds its first tasks; beyond the third offer only if it can be on time there, and at most six times. Up to the third offer it also goes to cells whose backlog ends before the job is useless. Otherwise it is refused without further offers. The room of a refused job is returned. Retry-After is the shortest that the cells gave, or follows from the least backlog. A cell without executors does not count as an offer; three in a row are asked before the job waits for the next tick, as before.

--- a/source/core/gateway/gateway.cpp
+++ b/source/core/gateway/gateway.cpp
@@ -9,24 +9,15 @@
 
 using common::milliseconds;
 
-// Number of dispatchers that a job is offered to before it is refused.
-constexpr std::size_t max_offers = 3;
 // Subtracted from the caller's patience for the return of the outcome from another entry.
 constexpr milliseconds return_time{15};
-constexpr milliseconds retry_after{1000};
 // A failure domain without a dispatcher gets a new one within about this time.
 constexpr milliseconds max_wait_for_dispatcher{1500};
+// After so many cells without executors that take work, a job waits for the next tick.
+constexpr std::size_t max_cells_without_executors = 3;
 // An answer that takes longer than this many times the objective has no value.
 constexpr int max_lateness_factor = 3;
 
-std::int64_t total_cpu_millis(const work::job& job) {
-    std::int64_t sum = 0;
-    for (const auto& step : job.steps) {
-        sum += step.tasks * step.task_resources.cpu_millis;
-    }
-    return sum;
-}
-
 } // namespace
 
 gateway::gateway(const common::clock& clock, const common::stall_detector& stalls,
@@ -70,14 +61,14 @@
         }
         const auto sent = m_sent_since_heartbeat.find(name);
         list.push_back({name, it->identity.failure_domain == self.failure_domain, it->status.load,
-                        sent == m_sent_since_heartbeat.end() ? 0 : sent->second});
+                        sent == m_sent_since_heartbeat.end() ? 0 : sent->second.total});
     }
     return list;
 }
 
 void gateway::place(std::uint64_t ticket) {
     auto& open = m_open.at(ticket);
-    const auto list = targets(open.tried);
+    const auto list = targets_left(open);
     const auto best = choose_target(open.job, list, m_random);
     if (!best) {
         wait_or_refuse(ticket);
@@ -108,7 +99,7 @@
 
 void gateway::refuse(std::uint64_t ticket, const std::string& reason) {
     m_observer.job_event(m_open.at(ticket).job.id, "job_refused", reason);
-    finish(ticket, {work::job_end::not_run, reason, retry_after, false});
+    finish(ticket, {work::job_end::not_run, reason, retry_after(), false});
 }
 
 void gateway::wait_or_refuse(std::uint64_t ticket) {
@@ -135,7 +126,7 @@
     for (const auto ticket : earlier) {
         const auto done = m_open.at(ticket).done;
         abandon(ticket);
-        done({work::job_end::given_up, "its caller has sent it again", retry_after});
+        done({work::job_end::given_up, "its caller has sent it again", retry_after()});
     }
 }
 
@@ -175,10 +166,12 @@
     auto& open = m_open.at(ticket);
     const auto& name = to.identity.name;
     m_view.note_in_use(name, m_clock.now());
-    m_sent_since_heartbeat[name] += total_cpu_millis(open.job);
     m_observer.job_event(open.job.id, "job_passed", name);
     open.forward_number = m_next_forward++;
     m_forwards[open.forward_number] = ticket;
+    auto& sent = m_sent_since_heartbeat[name];
+    sent.by_forward[open.forward_number] = first_tasks_cpu_millis(open.job);
+    sent.total += first_tasks_cpu_millis(open.job);
     passed_job message{open.job, m_view.self().name, open.forward_number, m_view.self().incarnation,
                        std::nullopt};
     if (const auto stamp = m_last_stamps.find(name); stamp != m_last_stamps.end()) {
@@ -220,19 +213,89 @@
     if (it == m_open.end()) {
         return;
     }
+    const auto forward_number = it->second.forward_number;
     end_forward(it->second);
-    const bool is_refused = outcome.end == work::job_end::not_run;
-    if (is_refused && it->second.tried.size() < max_offers && !targets(it->second.tried).empty() &&
-        m_clock.now() < it->second.give_up_at) {
+    if (outcome.end != work::job_end::not_run) {
+        finish(ticket, outcome);
+        return;
+    }
+    return_room(it->second.target, forward_number);
+    on_refused(ticket, outcome);
+}
+
+void gateway::on_refused(std::uint64_t ticket, const work::outcome& outcome) {
+    auto& open = m_open.at(ticket);
+    if (!outcome.lacked_executors) {
+        open.job.earlier_offers++;
+        open.retry_after = std::min(open.retry_after.value_or(cell::max_retry_after),
+                                    std::max(outcome.retry_after, cell::min_retry_after));
+    }
+    const bool may_be_offered =
+        !outcome.lacked_executors || open.tried.size() < max_cells_without_executors;
+    if (may_be_offered && m_clock.now() < open.give_up_at && !targets_left(open).empty()) {
         place(ticket);
         return;
     }
-    if (is_refused && outcome.lacked_executors) {
-        it->second.tried.clear();
+    if (open.job.earlier_offers == 0) { // all that were asked lacked executors
+        open.tried.clear();
         wait_or_refuse(ticket);
         return;
     }
-    finish(ticket, outcome);
+    note_not_offered_further(open);
+    auto last = outcome;
+    last.retry_after = open.retry_after.value_or(cell::min_retry_after);
+    finish(ticket, last);
+}
+
+void gateway::note_not_offered_further(const open_job& it) const {
+    const auto left = targets(it.tried);
+    if (left.empty()) {
+        return;
+    }
+    const auto least =
+        std::min_element(left.begin(), left.end(), [](const target& a, const target& b) {
+            return a.load.backlog_ms < b.load.backlog_ms;
+        });
+    m_observer.job_event(it.job.id, "job_refused",
+                         "no other cell has room, and their backlogs are longer than it can wait");
+    (void)least;
+}
+
+void gateway::return_room(const std::string& entry, std::uint64_t forward_number) {
+    const auto sent = m_sent_since_heartbeat.find(entry);
+    if (sent == m_sent_since_heartbeat.end()) {
+        return; // a heartbeat has come since
+    }
+    if (const auto it = sent->second.by_forward.find(forward_number);
+        it != sent->second.by_forward.end()) {
+        sent->second.total -= it->second;
+        sent->second.by_forward.erase(it);
+    }
+}
+
+std::vector<target> gateway::targets_left(const open_job& it) const {
+    const auto list = targets(it.tried);
+    return it.job.earlier_offers == 0
+               ? list
+               : targets_after_refusal(it.job, list, slack_of(it), it.job.earlier_offers);
+}
+
+job_slack gateway::slack_of(const open_job& it) const {
+    const auto start = m_clock.now() + it.job.critical_path_length();
+    const auto objective = it.job.objective();
+    const auto until = [start](common::time_point end) {
+        return std::chrono::duration_cast<milliseconds>(end - start);
+    };
+    return {until(std::min(it.first_sent + objective, it.give_up_at)),
+            until(std::min(it.first_sent + max_lateness_factor * objective, it.give_up_at))};
+}
+
+milliseconds gateway::retry_after() const {
+    std::optional<std::int64_t> least;
+    for (const auto& it : targets({})) {
+        least = std::min(least.value_or(it.load.backlog_ms), it.load.backlog_ms);
+    }
+    return cell::retry_after_for(static_cast<double>(least.value_or(0)));
 }
 
 void gateway::on_forwarding_failed(std::uint64_t ticket, std::error_code ec) {
@@ -254,7 +317,7 @@
     if (const auto* to = m_view.find(it->second.target)) {
         m_client.abandon(to->address, {it->second.job.id, m_view.self().name, forward_number});
     }
-    finish(ticket, {work::job_end::given_up, "the way to its dispatcher broke", retry_after});
+    finish(ticket, {work::job_end::given_up, "the way to its dispatcher broke", retry_after()});
 }
 
 void gateway::on_entry_lost(const std::string& name) {
--- a/source/core/gateway/gateway.h
+++ b/source/core/gateway/gateway.h
@@ -69,13 +69,29 @@
         cell::done_callback done;
         std::string target; // name of an entry; this entry's own for the local dispatcher
         std::set<std::string> tried;
+        // Shortest of those that cells have refused it with.
+        std::optional<common::milliseconds> retry_after;
         std::uint64_t own_ticket = 0;
         std::uint64_t forward_number = 0; // 0 while it is not forwarded
         forwarding_client::canceller cancel;
     };
 
+    // First tasks of jobs that were forwarded and not refused, in thousandths of a core.
+    struct sent_work {
+        std::int64_t total = 0;
+        std::map<std::uint64_t, std::int64_t> by_forward;
+    };
+
     std::vector<target> targets(const std::set<std::string>& tried) const;
+    std::vector<target> targets_left(const open_job& it) const;
+    job_slack slack_of(const open_job& it) const;
+    // When the least busy cell will have done the work that waits there.
+    common::milliseconds retry_after() const;
     void place(std::uint64_t ticket);
+    void on_refused(std::uint64_t ticket, const work::outcome& outcome);
+    void note_not_offered_further(const open_job& it) const;
+    // The room that was counted for a forward is free, as its job was refused.
+    void return_room(const std::string& entry, std::uint64_t forward_number);
     void forward(std::uint64_t ticket, const fleet::peer& to);
     bool is_held_for(const std::string& dispatcher, std::uint64_t forward_number) const;
     void end_forward(open_job& it);
@@ -100,10 +116,10 @@
     common::random_source& m_random;
     std::map<std::uint64_t, open_job> m_open;
     std::set<std::uint64_t> m_waiting; // tickets of jobs that found no dispatcher
-    std::map<std::string, std::int64_t> m_sent_since_heartbeat; // thousandths of a core, by entry
-    std::map<std::uint64_t, std::uint64_t> m_forwards;          // tickets, by number of the forward
-    std::map<std::string, lease_stamp> m_last_stamps;           // by dispatcher
-    common::milliseconds m_suspended;                           // total at the last tick
+    std::map<std::string, sent_work> m_sent_since_heartbeat; // by entry
+    std::map<std::uint64_t, std::uint64_t> m_forwards;       // tickets, by number of the forward
+    std::map<std::string, lease_stamp> m_last_stamps;        // by dispatcher
+    common::milliseconds m_suspended;                        // total at the last tick
     std::uint64_t m_next_ticket = 1;
     std::uint64_t m_next_forward = 1;
 };
--- a/source/core/gateway/target_choice.h
+++ b/source/core/gateway/target_choice.h
@@ -26,6 +26,26 @@
     bool operator==(const target&) const = default;
 };
 
+// CPU demand of the tasks that depend on no others.
+std::int64_t first_tasks_cpu_millis(const work::job& job);
+// Whether the target's published usable capacity, less what was sent to it since, holds all these
+// tasks.
+bool has_room(const work::job& job, const target& it);
+
+// How long a job can wait for its first tasks to start and still be answered in time.
+struct job_slack {
+    common::milliseconds on_time{0};
+    common::milliseconds useful{0}; // late, but the caller still waits and the answer has a value
+
+    bool operator==(const job_slack&) const = default;
+};
+
+// The targets that a job is worth being offered to after `offers` cells have refused it: those with
+// room while it can be on time there, and, up to the third offer, those whose backlog ends before
+// the job is useless.
+std::vector<target> targets_after_refusal(const work::job& job, const std::vector<target>& targets,
+                                          const job_slack& slack, int offers);
+
 // Returns the index of the best target; nullopt when the list is empty.
 std::optional<std::size_t> choose_target(const work::job& job, const std::vector<target>& targets,
                                          common::random_source& random);
--- a/source/unit_tests/gateway/gateway_test.cpp
+++ b/source/unit_tests/gateway/gateway_test.cpp
@@ -4,8 +4,12 @@
 
 #include <gtest/gtest.h>
 
+#include <limits>
+
+#include "core/cell/retry_after.h"
 #include "core/gateway/forwarding_codec.h"
 #include "core/gateway/forwarding_service.h"
+#include "fleet.pb.h"
 #include "unit_tests/cell/jobs.h"
 
 namespace savorytrail::gateway {
@@ -459,6 +463,7 @@
     it.job.steps[0].image = "resize";
     it.job.steps.push_back(it.job.steps[0]);
     it.job.steps[1].depends_on = {0};
+    it.job.earlier_offers = 2;
     EXPECT_EQ(decode_job(encode(it)), it);
     const work::outcome outcome{job_end::given_up, "why", milliseconds(1200)};
     EXPECT_EQ(decode_outcome(encode(outcome)), outcome);
@@ -466,5 +471,155 @@
     EXPECT_FALSE(decode_job("\x01\x02"));
 }
 
+TEST(forwarding_codec, reads_a_job_of_an_entry_before_earlier_offers_as_offered_first) {
+    schema::passed_job old;
+    ASSERT_TRUE(old.ParseFromString(
+        encode(passed_job{cell::make_job("a", 1, milliseconds(70)), "entry-1", 7, 1000, {}})));
+    old.clear_earlier_offers();
+    EXPECT_EQ(decode_job(old.SerializeAsString())->job.earlier_offers, 0);
+}
+
+struct number_case {
+    const char* name;
+    std::int64_t ms;
+    milliseconds expected;
+};
+
+class a_malformed_number : public testing::TestWithParam<number_case> {};
+
+// Added to a point in time, the greatest ones would overflow.
+TEST_P(a_malformed_number, is_bounded) {
+    schema::passed_job message;
+    ASSERT_TRUE(message.ParseFromString(
+        encode(passed_job{cell::make_job("a", 1, milliseconds(70)), "entry-1", 7, 1000, {}})));
+    message.set_patience_ms(GetParam().ms);
+    message.set_waited_ms(GetParam().ms);
+    message.set_target_ms(GetParam().ms);
+    message.mutable_steps(0)->set_estimate_ms(GetParam().ms);
+    message.set_earlier_offers(4'000'000'000U);
+    const auto it = decode_job(message.SerializeAsString());
+    ASSERT_TRUE(it);
+    EXPECT_EQ(it->job.patience, GetParam().expected);
+    EXPECT_EQ(it->job.waited, GetParam().expected);
+    EXPECT_EQ(it->job.queue.target, GetParam().expected);
+    EXPECT_EQ(it->job.steps[0].estimate, GetParam().expected);
+    EXPECT_EQ(it->job.earlier_offers, 1000);
+    const auto outcome = decode_outcome(
+        encode(work::outcome{job_end::not_run, "full", milliseconds(GetParam().ms)}));
+    ASSERT_TRUE(outcome);
+    EXPECT_GE(outcome->retry_after, milliseconds(0));
+    EXPECT_LE(outcome->retry_after, cell::max_retry_after);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    forwarding_codec, a_malformed_number,
+    testing::Values(number_case{"zero", 0, milliseconds(0)},
+                    number_case{"negative", -1'000'000'000'000, milliseconds(0)},
+                    number_case{"huge", 1'000'000'000'000, milliseconds(86'400'000)},
+                    number_case{"greatest", std::numeric_limits<std::int64_t>::max(),
+                                milliseconds(86'400'000)}),
+    [](const auto& it) { return it.param.name; });
+
+// The load of one cell, and how it answers each offer.
+struct offered_cell {
+    std::int64_t free_cpu_millis = 0;
+    std::int64_t backlog_ms = 0;
+};
+
+struct offers_case {
+    const char* name;
+    std::vector<offered_cell> cells;
+    int waited_ms = 0; // by the job before it arrived
+    std::size_t expected_offers = 0;
+    int retry_after_ms = 2000; // of the cells' refusals
+    int expected_retry_ms = 2000;
+};
+
+class a_job_refused_by_all : public a_gateway, public testing::WithParamInterface<offers_case> {};
+
+constexpr std::int64_t room = 640000;
+
+TEST_P(a_job_refused_by_all, is_offered_where_it_can_be_of_use) {
+    std::string name;
+    for (const auto& it : GetParam().cells) {
+        name += 'c';
+        fleet::heartbeat heartbeat;
+        heartbeat.sender = {name, "d", "", 1, 250};
+        heartbeat.status.sequence = 1;
+        heartbeat.status.load = {640000, it.free_cpu_millis, it.backlog_ms};
+        heartbeat.heard_recipient = milliseconds(1);
+        m_view.receive(heartbeat, "10.0.1." + std::to_string(name.size()), m_clock.now());
+    }
+    auto job = cell::make_job("a", 2, milliseconds(200));
+    job.waited = milliseconds(GetParam().waited_ms);
+    m_gateway.submit(job, [this](const work::outcome& it) { m_outcomes.push_back(it); });
+    for (std::size_t i = 0; i < m_client.sent.size(); i++) {
+        ASSERT_LT(i, 20U);
+        EXPECT_EQ(m_client.sent[i].message.job.earlier_offers, static_cast<int>(i));
+        m_client.sent[i].done(
+            work::outcome{job_end::not_run, "full", milliseconds(GetParam().retry_after_ms)});
+    }
+    EXPECT_EQ(m_client.sent.size(), GetParam().expected_offers);
+    ASSERT_EQ(m_outcomes.size(), 1U);
+    EXPECT_EQ(m_outcomes[0].end, job_end::not_run);
+    EXPECT_EQ(m_outcomes[0].retry_after, milliseconds(GetParam().expected_retry_ms));
+}
+
+const std::vector<offered_cell> ten_with_room(10, {room, 0});
+const std::vector<offered_cell> ten_full(10, {0, 100});
+const std::vector<offered_cell> ten_with_long_backlogs(10, {0, 5000});
+
+// The objective of the job is 380 ms, its value ends after 1140 ms.
+INSTANTIATE_TEST_SUITE_P(
+    burst, a_job_refused_by_all,
+    testing::Values(
+        offers_case{"all_have_room", ten_with_room, 0, 6},
+        // An offer beyond the third is for answers on time.
+        offers_case{"all_have_room_but_it_is_late", ten_with_room, 300, 3},
+        offers_case{"none_has_room", ten_full, 0, 3},
+        offers_case{"all_backlogs_are_too_long", ten_with_long_backlogs, 0, 1},
+        offers_case{"one_has_room_behind_long_backlogs",
+                    {{0, 1}, {0, 5000}, {0, 5000}, {0, 5000}, {room, 4000}},
+                    0,
+                    2},
+        offers_case{
+            "room_only_for_part_of_its_tasks", {{30000, 5000}, {30000, 5000}, {30000, 5000}}, 0, 1},
+        offers_case{"negative_room_and_backlog",
+                    {{-1'000'000'000'000, -5}, {-1'000'000'000'000, -5}},
+                    0,
+                    2},
+        offers_case{"huge_backlogs", {{0, 1'000'000'000'000}, {0, 1'000'000'000'000}}, 0, 1},
+        offers_case{"huge_room", {{1'000'000'000'000, 0}, {1'000'000'000'000, 0}}, 0, 2},
+        offers_case{"retry_time_of_zero", {{0, 1}}, 0, 1, 0, 1000}),
+    [](const auto& it) { return it.param.name; });
+
+// Until the next heartbeat, a cell that had refused jobs counted as full by what was sent to it.
+TEST_F(a_gateway, counts_the_room_that_a_refused_job_did_not_take_as_free) {
+    receive("near", "d", 60000); // of the two tasks of one job
+    receive("farther", "other", 640000);
+    for (int i = 0; i < 20; i++) {
+        submit();
+        ASSERT_EQ(m_client.sent.back().to, (common::endpoint{"10.0.0.4", 7000})) << i;
+        m_client.sent.back().done(work::outcome{job_end::not_run, "full", milliseconds(1000)});
+        ASSERT_EQ(m_client.sent.back().to, (common::endpoint{"10.0.0.7", 7000})) << i;
+        m_client.sent.back().done(work::outcome{job_end::not_run, "full", milliseconds(1000)});
+    }
+}
+
+// A job is never offered again once an offer's answer is lost: it may be running there.
+TEST_F(a_gateway, does_not_report_a_job_as_not_run_after_the_answer_to_an_offer_is_lost) {
+    receive("near", "d", 640000);
+    receive("nearer", "d", 640000);
+    receive("farther", "other", 640000);
+    submit();
+    m_client.sent[0].done(work::outcome{job_end::not_run, "full", milliseconds(1000)});
+    ASSERT_EQ(m_client.sent.size(), 2U);
+    m_client.sent[1].done(make_error_code(common::error::timed_out));
+    EXPECT_EQ(m_client.sent.size(), 2U);
+    ASSERT_EQ(m_outcomes.size(), 1U);
+    EXPECT_EQ(m_outcomes[0].end, job_end::given_up);
+    EXPECT_EQ(m_client.abandoned.size(), 1U);
+}
+
 } // namespace
 } // namespace savorytrail::gateway
