Refusals name capacity, its age, work and room, and are counted by cause

Cause: the log line of a refusal gave a reason only; an operator could not tell a cell without room from one that believed in overload, nor how old the information was. savory_events_total counted all refusals as one.

Change: job_refused and job_given_up add the effective capacity, the age of the newest executor report behind it, the work ahead and waiting, and how many of the first tasks fit now. A gateway that ends the offers of a job, or refuses it itself, logs the number of cells, the least backlog, the greatest usable capacity and the age of the oldest heartbeat. savory_refusals_total counts by cause.

--- a/source/core/cell/admission.cpp
+++ b/source/core/cell/admission.cpp
@@ -1,6 +1,7 @@
 #include "core/cell/admission.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace savorytrail::cell {
 namespace {
@@ -49,6 +50,20 @@
     return ms > 0 ? std::min(ms, longest_wait_ms) : 0; // 0 for NaN too
 }
 
+std::string describe(const admission_view& view, const job_room& room) {
+    const auto ms_of = [&](double work) {
+        return std::to_string(time_for(work, view.capacity).count()) + " ms";
+    };
+    std::string text = "capacity " +
+                       std::to_string(std::llround(std::clamp(view.capacity, 0.0, 1e15) / 1000)) +
+                       " cores by reports ";
+    text += view.age ? std::to_string(view.age->count()) + " ms old" : "not received yet";
+    text += ", work ahead " + ms_of(view.work_ahead) + ", waiting " + ms_of(view.work_waiting);
+    text += ", " + std::to_string(room.fitting) + " of " + std::to_string(room.tasks) +
+            " first tasks fit now";
+    return text;
+}
+
 std::optional<refusal> admission::check(const job_record& candidate, const admission_view& view,
                                         const room_counter& count_room, common::time_point now) {
     const auto refuse = [](refusal_cause cause, const char* reason, milliseconds retry_after,
@@ -59,12 +74,13 @@
     };
     // Negated, so that it holds for NaN too.
     if (!(view.capacity > 0)) {
-        return refuse(refusal_cause::no_executors, "no executor takes work", min_retry_after, {});
+        return refuse(refusal_cause::no_executors, "no executor takes work", min_retry_after,
+                      count_room());
     }
     const auto& job = candidate.job();
     if (!view.has_fitting_executors) {
         return refuse(refusal_cause::none_fits, "no executor is large enough or has the label",
-                      min_retry_after, {});
+                      min_retry_after, count_room());
     }
     const double backlog_ms = milliseconds_for(view.work_waiting, view.capacity);
     const auto backlog = time_for(view.work_waiting, view.capacity);
--- a/source/core/cell/admission.h
+++ b/source/core/cell/admission.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -20,6 +21,8 @@
     double work_ahead = 0;   // of waiting jobs that go before the candidate
     double work_waiting = 0; // of all waiting jobs
     bool has_fitting_executors = true;
+    // Since the newest report of an executor that the capacity follows from; nullopt before any.
+    std::optional<common::milliseconds> age = std::nullopt;
 
     bool operator==(const admission_view&) const = default;
 };
@@ -49,6 +52,9 @@
     bool operator==(const refusal&) const = default;
 };
 
+// For the log: the capacity assumed, how old it is, the work, and the tasks that have room.
+std::string describe(const admission_view& view, const job_room& room);
+
 // The time in which the capacity does the work, in ms; 0 for absurd numbers.
 double milliseconds_for(double work, double capacity);
 
--- a/source/core/cell/dispatcher.cpp
+++ b/source/core/cell/dispatcher.cpp
@@ -88,7 +88,9 @@
     const auto view = view_for(record);
     const auto count_room = [&] { return room_of(record); };
     if (const auto refusal = m_admission.check(record, view, count_room, m_clock.now())) {
-        m_observer.job_event(job.id, "job_refused", refusal->outcome.reason);
+        m_observer.job_event(job.id, "job_refused",
+                             refusal->outcome.reason + "; " + describe(view, refusal->room));
+        m_observer.count_refusal(refusal->cause);
         first.done(refusal->outcome);
         return ticket;
     }
@@ -127,6 +129,7 @@
     const auto candidate_rank = rank_of(candidate, now);
     admission_view view;
     view.capacity = effective_capacity();
+    view.age = capacity_age();
     view.has_fitting_executors =
         has_fitting_executors(candidate.job(), m_executor_manager.executors());
     for (const auto& it : m_jobs) {
@@ -139,6 +142,17 @@
     return view;
 }
 
+std::optional<milliseconds> dispatcher::capacity_age() const {
+    std::optional<time_point> newest;
+    for (const auto& [id, it] : m_executor_manager.executors()) {
+        if (it->reported_at) {
+            newest = std::max(newest.value_or(*it->reported_at), *it->reported_at);
+        }
+    }
+    return newest ? std::optional(std::chrono::duration_cast<milliseconds>(m_clock.now() - *newest))
+                  : std::nullopt;
+}
+
 job_room dispatcher::room_of(const job_record& job) const {
     return room_for(job, m_jobs, m_executor_manager.executors(), m_clock.now());
 }
@@ -208,15 +222,21 @@
     close(job, outcome, end_of_runs(*job));
 }
 
-work::outcome dispatcher::given_up_outcome(const job_record& job, const std::string& reason) const {
+work::outcome dispatcher::given_up_outcome(const job_record& job, refusal_cause cause,
+                                           const std::string& reason) const {
     const auto end = job.may_have_run() ? work::job_end::given_up : work::job_end::not_run;
-    m_observer.job_event(job.job().id,
-                         end == work::job_end::given_up ? "job_given_up" : "job_refused", reason);
+    const auto detail = reason + "; " + describe(view_for(job), room_of(job));
+    if (end == work::job_end::given_up) {
+        m_observer.job_event(job.job().id, "job_given_up", detail);
+    } else {
+        m_observer.job_event(job.job().id, "job_refused", detail);
+        m_observer.count_refusal(cause);
+    }
     return {end, reason, retry_after()};
 }
 
-void dispatcher::give_up(job_list::iterator job, const std::string& reason) {
-    close(job, given_up_outcome(*job, reason));
+void dispatcher::give_up(job_list::iterator job, refusal_cause cause, const std::string& reason) {
+    close(job, given_up_outcome(*job, cause, reason));
 }
 
 void dispatcher::remove_earlier_waiters(job_record& job, std::uint64_t ticket) {
@@ -241,7 +261,7 @@
         return false;
     }
     if (rest == waiters.begin()) {
-        give_up(job, unrenewed);
+        give_up(job, refusal_cause::not_renewed, unrenewed);
         return true;
     }
     const std::vector<waiter> removed(std::make_move_iterator(rest),
@@ -276,12 +296,13 @@
         has_waiting_tasks = has_waiting_tasks || job->has_waiting();
         const auto group = rank_of(*job, now).group;
         if (now + answer_margin >= job->give_up_at()) {
-            give_up(job, "its caller's patience ends");
+            give_up(job, refusal_cause::patience, "its caller's patience ends");
         } else if (group == urgency::too_late) {
-            give_up(job, "no executor became free in time");
+            give_up(job, refusal_cause::not_started, "no executor became free in time");
         } else if (group == urgency::late && is_overloaded) {
             // Under overload, a late job would take resources from jobs that can still be on time.
-            give_up(job, "it would be late, and more work comes than can be done");
+            give_up(job, refusal_cause::late_overload,
+                    "it would be late, and more work comes than can be done");
         }
     }
     if (has_waiting_tasks) {
@@ -404,7 +425,8 @@
     for (auto it = m_jobs.begin(); it != m_jobs.end();) {
         const auto job = it++;
         // Callers may have left when the VM stopped, so the runs get no time beyond their leases.
-        close(job, given_up_outcome(*job, "this VM stood still"), m_clock.now());
+        close(job, given_up_outcome(*job, refusal_cause::suspended, "this VM stood still"),
+              m_clock.now());
     }
 }
 
--- a/source/core/cell/dispatcher.h
+++ b/source/core/cell/dispatcher.h
@@ -24,6 +24,8 @@
     virtual ~job_observer() = default;
     virtual void job_event(const std::string& job, std::string_view event,
                            const std::string& detail) = 0;
+    // For the counters; job_event() reports the refusal itself.
+    virtual void count_refusal(refusal_cause) {}
     // All runs of a job that were open when the job was closed have ended, the last one this long
     // after.
     virtual void runs_stopped(common::milliseconds) {}
@@ -89,8 +91,10 @@
     void close(job_list::iterator job, const work::outcome& outcome);
     // By when the runs of a job that is closed now must have ended.
     common::time_point end_of_runs(const job_record& job) const;
-    void give_up(job_list::iterator job, const std::string& reason);
-    work::outcome given_up_outcome(const job_record& job, const std::string& reason) const;
+    void give_up(job_list::iterator job, refusal_cause cause, const std::string& reason);
+    work::outcome given_up_outcome(const job_record& job, refusal_cause cause,
+                                   const std::string& reason) const;
+    std::optional<common::milliseconds> capacity_age() const;
     void stop_runs(const job_record& job, common::time_point runs_end_by);
     void note_stopped_run(const work::task_id& task, run_result result);
     void on_failure(job_list::iterator job, task_record& task);
--- a/source/core/cell/executor_record.h
+++ b/source/core/cell/executor_record.h
@@ -77,6 +77,8 @@
     common::time_point lost_at;                   // latest
     common::time_point resources_exhausted_until; // no starts until then, after a rejection
     int missed_reports = 0;                       // in a row
+    // When the latest report arrived.
+    std::optional<common::time_point> reported_at;
 
     work::resources free() const { return info.capacity - used; }
     // While reports are missing, no lease is renewed and nothing is started.
--- a/source/core/cell/executor_reports.cpp
+++ b/source/core/cell/executor_reports.cpp
@@ -30,6 +30,7 @@
                                     "a report arrived after missed ones");
     }
     it->missed_reports = 0;
+    it->reported_at = m_clock.now();
     apply_report(*it, request, report);
     request_next_report(*it);
     m_listener->on_resources_freed();
--- a/source/core/gateway/gateway.cpp
+++ b/source/core/gateway/gateway.cpp
@@ -80,7 +80,7 @@
     const auto left = std::chrono::duration_cast<milliseconds>(open.give_up_at - now);
     open.job.waited = std::chrono::duration_cast<milliseconds>(now - open.first_sent);
     if (left <= return_time) {
-        refuse(ticket, "its caller's patience ends");
+        refuse(ticket, cell::refusal_cause::patience, "its caller's patience ends");
         return;
     }
     open.job.patience = left;
@@ -97,8 +97,10 @@
     forward(ticket, *m_view.find(open.target));
 }
 
-void gateway::refuse(std::uint64_t ticket, const std::string& reason) {
-    m_observer.job_event(m_open.at(ticket).job.id, "job_refused", reason);
+void gateway::refuse(std::uint64_t ticket, cell::refusal_cause cause, const std::string& reason) {
+    m_observer.job_event(m_open.at(ticket).job.id, "job_refused",
+                         reason + "; " + describe_targets(targets({})));
+    m_observer.count_refusal(cause);
     finish(ticket, {work::job_end::not_run, reason, retry_after(), false});
 }
 
@@ -110,7 +112,7 @@
         end < open.first_sent + max_lateness_factor * open.job.objective() &&
         m_clock.now() - open.arrived < max_wait_for_dispatcher;
     if (!open.tried.empty() || !is_worth_waiting) {
-        refuse(ticket, "no dispatcher can be reached");
+        refuse(ticket, cell::refusal_cause::no_dispatcher, "no dispatcher can be reached");
         return;
     }
     m_waiting.insert(ticket);
@@ -252,13 +254,33 @@
     if (left.empty()) {
         return;
     }
-    const auto least =
-        std::min_element(left.begin(), left.end(), [](const target& a, const target& b) {
-            return a.load.backlog_ms < b.load.backlog_ms;
-        });
     m_observer.job_event(it.job.id, "job_refused",
-                         "no other cell has room, and their backlogs are longer than it can wait");
-    (void)least;
+                         "no other cell is of use to it; " + describe_targets(left));
+    m_observer.count_refusal(cell::refusal_cause::no_cell);
+}
+
+std::string gateway::describe_targets(const std::vector<target>& list) const {
+    if (list.empty()) {
+        return "no cell has executors";
+    }
+    const auto free_of = [](const target& it) {
+        return it.load.free_cpu_millis - it.sent_since_heartbeat;
+    };
+    auto least_backlog = list.front().load.backlog_ms;
+    auto most_free = free_of(list.front());
+    milliseconds oldest{0};
+    for (const auto& it : list) {
+        least_backlog = std::min(least_backlog, it.load.backlog_ms);
+        most_free = std::max(most_free, free_of(it));
+        if (const auto* peer = m_view.find(it.name); peer != nullptr && peer->last_sign) {
+            oldest = std::max(
+                oldest, std::chrono::duration_cast<milliseconds>(m_clock.now() - *peer->last_sign));
+        }
+    }
+    return std::to_string(list.size()) + " cells, least backlog " + std::to_string(least_backlog) +
+           " ms, at most " + std::to_string(most_free / 1000) +
+           " cores usable in one, by heartbeats up to " + std::to_string(oldest.count()) +
+           " ms old";
 }
 
 void gateway::return_room(const std::string& entry, std::uint64_t forward_number) {
--- a/source/core/gateway/gateway.h
+++ b/source/core/gateway/gateway.h
@@ -101,7 +101,9 @@
     // Callers' patience ran on while the VM was suspended.
     void count_suspension();
     void wait_or_refuse(std::uint64_t ticket);
-    void refuse(std::uint64_t ticket, const std::string& reason);
+    void refuse(std::uint64_t ticket, cell::refusal_cause cause, const std::string& reason);
+    // For the log: what the cells that the job was not offered to have told, and when.
+    std::string describe_targets(const std::vector<target>& list) const;
     void on_outcome(std::uint64_t ticket, const work::outcome& outcome);
     void on_forwarding_failed(std::uint64_t ticket, std::error_code ec);
     void finish(std::uint64_t ticket, const work::outcome& outcome);
--- a/source/core/telemetry/job_metrics.cpp
+++ b/source/core/telemetry/job_metrics.cpp
@@ -3,7 +3,7 @@
 namespace savorytrail::telemetry {
 namespace {
 
-enum family_index : std::size_t { answers, events, stops };
+enum family_index : std::size_t { answers, events, stops, refusals };
 
 std::vector<family> make_families() {
     return {
@@ -19,6 +19,10 @@
          "Time from a job's closing to the end of its last run, of jobs with runs to stop.",
          metric_kind::histogram,
          {0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1, 1.3, 2, 5}},
+        {"savory_refusals_total",
+         "Refusals of jobs that had not run, by cause; one for each cell that refused a job.",
+         metric_kind::counter,
+         {}},
     };
 }
 
@@ -39,4 +43,8 @@
     m_registry.add(events, {{"event", std::string(event)}});
 }
 
+void job_metrics::count_refusal(std::string_view cause) {
+    m_registry.add(refusals, {{"cause", std::string(cause)}});
+}
+
 } // namespace savorytrail::telemetry
--- a/source/core/telemetry/job_metrics.h
+++ b/source/core/telemetry/job_metrics.h
@@ -18,6 +18,8 @@
     void observe_runs_stopped(std::chrono::milliseconds after);
     // A decision or a state change, by its event name in the log.
     void count_event(std::string_view event);
+    // A cell or a gateway refused a job that had not run.
+    void count_refusal(std::string_view cause);
 
     void write(exposition& out) const { m_registry.write(out); }
 
