Published usable capacity counts executors that accept work only

Cause: usable capacity counted free cores on executors that start nothing: with runs of another holder, an overdue run, a rejected start, or on probation with a run. Other entries offered jobs for this room, and the cell refused them.

Change: only executors that accept work count, one typical task on probation.

--- a/source/core/cell/cell_load.cpp
+++ b/source/core/cell/cell_load.cpp
@@ -24,7 +24,11 @@
         sum.capacity_cpu_millis += it->info.capacity.cpu_millis;
         const auto free = std::max<std::int64_t>(it->free().cpu_millis, 0);
         sum.free_cpu_millis += free;
-        sum.usable_cpu_millis += free / piece * piece;
+        if (it->accepts_work(now)) {
+            const auto whole = free / piece * piece;
+            // On probation it takes one task.
+            sum.usable_cpu_millis += it->health.is_on_probation() ? std::min(whole, piece) : whole;
+        }
     }
     return sum;
 }
--- a/source/core/cell/cell_load.h
+++ b/source/core/cell/cell_load.h
@@ -13,7 +13,8 @@
 struct cell_load {
     std::int64_t capacity_cpu_millis = 0; // of the executors that accept work
     std::int64_t free_cpu_millis = 0;
-    // The part of it that typical tasks can use: what is free on an executor in whole tasks.
+    // The part of it that typical tasks can use: what is free in whole tasks on an executor that
+    // accepts work now.
     std::int64_t usable_cpu_millis = 0;
     std::int64_t backlog_ms = 0; // time to work off the waiting tasks on all of them
 
--- a/source/unit_tests/cell/admission_test.cpp
+++ b/source/unit_tests/cell/admission_test.cpp
@@ -7,6 +7,7 @@
 #include <cmath>
 #include <limits>
 
+#include "core/cell/cell_load.h"
 #include "unit_tests/cell/jobs.h"
 
 namespace savorytrail::cell {
@@ -16,7 +17,17 @@
 
 const common::time_point start{std::chrono::hours(1)};
 
-enum class condition { accepts, quarantined, on_probation, unresponsive, lost, retiring };
+enum class condition {
+    accepts,
+    quarantined,
+    on_probation,
+    unresponsive,
+    lost,
+    retiring,
+    foreign_run,
+    overdue_run,
+    exhausted
+};
 
 struct executor_case {
     std::int64_t capacity_cores = 64;
@@ -43,6 +54,17 @@
         if (it.used_cores > 0) {
             record->runs[{{"other", 0, 0, 0}, 1}] = {};
         }
+        if (it.is == condition::foreign_run) {
+            record->foreign_runs.insert({{"foreign", 0, 0, 0}, 1});
+        }
+        if (it.is == condition::overdue_run) {
+            auto& run = record->runs.begin()->second;
+            run.state = run_state::running;
+            run.started_at = start - std::chrono::minutes(1);
+        }
+        if (it.is == condition::exhausted) {
+            record->resources_exhausted_until = start + milliseconds(50);
+        }
         if (it.is == condition::quarantined) {
             record->health.note_overdue(start);
         }
@@ -126,6 +148,34 @@
         room_case{"overbooked_executor", {{64, 100}}, {}, {1, 1}, {1, 0, false}}),
     [](const auto& it) { return it.param.name; });
 
+struct load_case {
+    const char* name;
+    std::vector<executor_case> executors;
+    std::int64_t usable_cores = 0;
+};
+
+class published_load : public testing::TestWithParam<load_case> {};
+
+// Other entries sent jobs to cells by room on executors that took no work.
+TEST_P(published_load, has_only_room_that_takes_work_as_usable) {
+    const auto executors = make_executors(GetParam().executors);
+    EXPECT_EQ(load_of(executors, 32000, start).usable_cpu_millis, GetParam().usable_cores * 1000);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    admission, published_load,
+    testing::Values(load_case{"idle", {{64, 0}, {64, 0}}, 128},
+                    load_case{"free_cores_in_unusable_pieces", {{64, 36}, {64, 36}}, 0},
+                    load_case{"quarantined", {{64, 0, condition::quarantined}, {64, 0}}, 64},
+                    load_case{"on_probation", {{64, 0, condition::on_probation}}, 32},
+                    load_case{"on_probation_with_a_run", {{64, 16, condition::on_probation}}, 0},
+                    load_case{"runs_of_another_holder", {{64, 0, condition::foreign_run}}, 0},
+                    load_case{"overdue_run", {{64, 16, condition::overdue_run}}, 0},
+                    load_case{"has_rejected_a_start", {{64, 0, condition::exhausted}}, 0},
+                    load_case{"unresponsive", {{64, 0, condition::unresponsive}}, 0},
+                    load_case{"overbooked", {{64, 100}}, 0}),
+    [](const auto& it) { return it.param.name; });
+
 struct check_case {
     const char* name;
     admission_view view;
