Return jobs that no executor here takes, and measure utilization by cores only

Causes, each found by reading and shown by a test in refusals_test that failed before: - Tasks that wait for their limit by executor or for a label while cores are idle lowered the measured utilization to a few percent, so that a later burst was refused for its queue's share. - When no executor of the cell takes work any more, jobs waited there until they were late; with a capacity of 0 any work looked like overload, and they were given up by that cause instead of going to another cell. - A job that no executor can hold any more, after executors were replaced by smaller ones, waited until it was too late for any cell.

Change: utilization is sampled only while a task that may start waits for cores on any executor. Jobs that have not run are returned as not run once no executor has taken work for 150 ms, with lacked_executors, so that the gateway places them elsewhere or waits; or at once when none can hold their tasks.

--- a/source/core/cell/dispatcher.cpp
+++ b/source/core/cell/dispatcher.cpp
@@ -13,6 +13,10 @@
 constexpr double task_size_weight = 0.05;
 // Time for the final answer to reach the caller before its patience ends.
 constexpr milliseconds answer_margin{80};
+// Executors that miss one report or are claimed anew are back sooner than another cell could start
+// the jobs that wait for them.
+constexpr milliseconds tolerated_outage{150};
+constexpr const char* no_executor_left = "no executor takes work any more";
 constexpr const char* unrenewed = "its entry does not confirm that the caller still waits";
 
 } // namespace
@@ -286,14 +290,19 @@
 
 void dispatcher::tick() {
     const auto now = m_clock.now();
-    const bool is_overloaded = m_admission.is_overloaded(effective_capacity(), now);
+    const double capacity = effective_capacity();
+    // Without executors, any work that was offered a moment ago would look like overload.
+    const bool is_overloaded = capacity > 0 && m_admission.is_overloaded(capacity, now);
+    return_stranded_jobs(now);
     bool has_waiting_tasks = false;
+    bool waits_for_cores = false;
     for (auto it = m_jobs.begin(); it != m_jobs.end();) {
         const auto job = it++;
         if (remove_unrenewed_waiters(job, now)) {
             continue;
         }
         has_waiting_tasks = has_waiting_tasks || job->has_waiting();
+        waits_for_cores = waits_for_cores || is_waiting_for_cores(*job);
         const auto group = rank_of(*job, now).group;
         if (now + answer_margin >= job->give_up_at()) {
             give_up(job, refusal_cause::patience, "its caller's patience ends");
@@ -305,7 +314,10 @@
                     "it would be late, and more work comes than can be done");
         }
     }
-    if (has_waiting_tasks) {
+    if (!has_waiting_tasks) {
+        m_capacity_meter.note_calm();
+    }
+    if (waits_for_cores) {
         const auto current_load = load();
         if (current_load.capacity_cpu_millis > 0) {
             m_capacity_meter.add_utilization(
@@ -315,6 +327,41 @@
     }
 }
 
+bool dispatcher::is_waiting_for_cores(const job_record& job) const {
+    if (!job.has_waiting() || !may_start(job)) {
+        return false;
+    }
+    const auto& executors = m_executor_manager.executors();
+    return std::any_of(job.tasks().begin(), job.tasks().end(), [&](const task_record& task) {
+        const auto& step = job.step_of(task);
+        return task.state == task_state::waiting && step.max_per_executor == 0 &&
+               std::all_of(executors.begin(), executors.end(), [&](const auto& it) {
+                   return is_eligible(step, job.job().queue.upstream, it.second->info);
+               });
+    });
+}
+
+void dispatcher::return_stranded_jobs(time_point now) {
+    const auto& executors = m_executor_manager.executors();
+    if (effective_capacity() > 0) {
+        m_had_capacity_at = now;
+    }
+    const bool is_outage = now - m_had_capacity_at > tolerated_outage;
+    for (auto it = m_jobs.begin(); it != m_jobs.end();) {
+        const auto job = it++;
+        if (job->may_have_run() || !job->has_waiting()) {
+            continue;
+        }
+        if (is_outage) {
+            auto outcome = given_up_outcome(*job, refusal_cause::no_executors, no_executor_left);
+            outcome.lacked_executors = true;
+            close(job, outcome);
+        } else if (m_had_capacity_at == now && !has_fitting_executors(job->job(), executors)) {
+            give_up(job, refusal_cause::none_fits, "no executor is large enough any more");
+        }
+    }
+}
+
 void dispatcher::note_starts(const job_record& job,
                              const std::vector<const task_record*>& started) {
     if (started.empty()) {
--- a/source/core/cell/dispatcher.h
+++ b/source/core/cell/dispatcher.h
@@ -98,6 +98,11 @@
     void stop_runs(const job_record& job, common::time_point runs_end_by);
     void note_stopped_run(const work::task_id& task, run_result result);
     void on_failure(job_list::iterator job, task_record& task);
+    // Whether tasks wait only because too few cores are free, so that the executors' utilization
+    // shows how far they can be used.
+    bool is_waiting_for_cores(const job_record& job) const;
+    // Returns jobs that have not run and that no executor here takes any more: another cell may.
+    void return_stranded_jobs(common::time_point now);
     admission_view view_for(const job_record& candidate) const;
     job_room room_of(const job_record& job) const;
     common::milliseconds retry_after() const;
@@ -116,6 +121,7 @@
     admission m_admission{fair_limits()};
     capacity_meter m_capacity_meter;
     duration_model m_durations;
+    common::time_point m_had_capacity_at;
     double m_typical_task_cpu_millis = 0; // of recent jobs; 0 before the first
     std::uint64_t m_next_ticket = 1;
     bool m_is_dispatching = false;
--- a/source/core/cell/free_room.cpp
+++ b/source/core/cell/free_room.cpp
@@ -6,12 +6,6 @@
 namespace savorytrail::cell {
 namespace {
 
-bool is_eligible(const work::step& step, const std::string& upstream,
-                 const work::executor_info& it) {
-    return it.upstream == upstream &&
-           (step.required_label.empty() || it.has_label(step.required_label));
-}
-
 int take_first_steps(free_room& room, const work::job& job) {
     int taken = 0;
     for (const auto& step : job.steps) {
@@ -34,6 +28,12 @@
 
 } // namespace
 
+bool is_eligible(const work::step& step, const std::string& upstream,
+                 const work::executor_info& it) {
+    return it.upstream == upstream &&
+           (step.required_label.empty() || it.has_label(step.required_label));
+}
+
 free_room::free_room(const executor_map& executors, common::time_point now) {
     for (const auto& [id, it] : executors) {
         if (it->accepts_work(now)) {
