--- a/source/core/cell/cell_load.h
+++ b/source/core/cell/cell_load.h
@@ -15,7 +15,8 @@
 struct cell_load {
     std::int64_t capacity_cpu_millis = 0; // of the executors that accept work
     std::int64_t free_cpu_millis = 0;
-    // The part of it that typical tasks can use: what is free on an executor in whole tasks.
+    // The part of it that typical tasks can use: what is free in whole tasks on an executor that
+    // accepts work now.
     std::int64_t usable_cpu_millis = 0;
     std::int64_t backlog_ms = 0; // time to work off the waiting tasks on all of them
 
@@ -23,8 +24,7 @@
 };
 
 // The load without the backlog. `typical_task_cpu_millis`: 0 before the first job.
-cell_load load_of(const std::map<std::string, std::unique_ptr<executor_record>>& executors,
-                  double typical_task_cpu_millis, const executor_speeds& speeds,
-                  common::time_point now);
+cell_load load_of(const executor_map& executors, double typical_task_cpu_millis,
+                  const executor_speeds& speeds, common::time_point now);
 
 } // namespace savorytrail::cell
--- a/source/core/cell/dispatcher.cpp
+++ b/source/core/cell/dispatcher.cpp
@@ -13,6 +13,10 @@
 constexpr double task_size_weight = 0.05;
 // Time for the final answer to reach the caller before its patience ends.
 constexpr milliseconds answer_margin{80};
+// Executors that miss one report or are claimed anew are back sooner than another cell could start
+// the jobs that wait for them.
+constexpr milliseconds tolerated_outage{150};
+constexpr const char* no_executor_left = "no executor takes work any more";
 constexpr const char* unrenewed = "its entry does not confirm that the caller still waits";
 
 } // namespace
@@ -85,9 +89,13 @@
         return ticket;
     }
     job_record record(m_durations.with_predicted_durations(job), job, m_limits, m_clock.now());
-    if (const auto refusal = m_admission.refuse(record, view_for(record), m_clock.now())) {
-        m_observer.job_event(job.id, "job_refused", refusal->reason);
-        first.done(*refusal);
+    const auto view = view_for(record);
+    const auto count_room = [&] { return room_of(record); };
+    if (const auto refusal = m_admission.check(record, view, count_room, m_clock.now())) {
+        m_observer.job_event(job.id, "job_refused",
+                             refusal->outcome.reason + "; " + describe(view, refusal->room));
+        m_observer.count_refusal(refusal->cause);
+        first.done(refusal->outcome);
         return ticket;
     }
     record.waiters.push_back(std::move(first));
@@ -125,6 +133,9 @@
     const auto candidate_rank = rank_of(candidate, now);
     admission_view view;
     view.capacity = effective_capacity();
+    view.age = capacity_age();
+    view.has_fitting_executors =
+        has_fitting_executors(candidate.job(), m_executor_manager.executors());
     for (const auto& it : m_jobs) {
         const double work = it.waiting_cpu_demand();
         view.work_waiting += work;
@@ -135,6 +146,25 @@
     return view;
 }
 
+std::optional<milliseconds> dispatcher::capacity_age() const {
+    std::optional<time_point> newest;
+    for (const auto& [id, it] : m_executor_manager.executors()) {
+        if (it->reported_at) {
+            newest = std::max(newest.value_or(*it->reported_at), *it->reported_at);
+        }
+    }
+    return newest ? std::optional(std::chrono::duration_cast<milliseconds>(m_clock.now() - *newest))
+                  : std::nullopt;
+}
+
+job_room dispatcher::room_of(const job_record& job) const {
+    return room_for(job, m_jobs, m_executor_manager.executors(), m_clock.now());
+}
+
+milliseconds dispatcher::retry_after() const {
+    return retry_after_for(static_cast<double>(load().backlog_ms));
+}
+
 void dispatcher::abandon(std::uint64_t ticket) {
     for (auto job = m_jobs.begin(); job != m_jobs.end(); ++job) {
         auto& waiters = job->waiters;
@@ -196,15 +226,21 @@
     close(job, outcome, end_of_runs(*job));
 }
 
-work::outcome dispatcher::given_up_outcome(const job_record& job, const std::string& reason) const {
+work::outcome dispatcher::given_up_outcome(const job_record& job, refusal_cause cause,
+                                           const std::string& reason) const {
     const auto end = job.may_have_run() ? work::job_end::given_up : work::job_end::not_run;
-    m_observer.job_event(job.job().id,
-                         end == work::job_end::given_up ? "job_given_up" : "job_refused", reason);
-    return {end, reason, min_retry_after};
+    const auto detail = reason + "; " + describe(view_for(job), room_of(job));
+    if (end == work::job_end::given_up) {
+        m_observer.job_event(job.job().id, "job_given_up", detail);
+    } else {
+        m_observer.job_event(job.job().id, "job_refused", detail);
+        m_observer.count_refusal(cause);
+    }
+    return {end, reason, retry_after()};
 }
 
-void dispatcher::give_up(job_list::iterator job, const std::string& reason) {
-    close(job, given_up_outcome(*job, reason));
+void dispatcher::give_up(job_list::iterator job, refusal_cause cause, const std::string& reason) {
+    close(job, given_up_outcome(*job, cause, reason));
 }
 
 bool dispatcher::leave_drained(job_list::iterator job) {
@@ -215,7 +251,8 @@
     if (is_running || !job->has_waiting() || m_starter.may_start_later(*job)) {
         return false;
     }
-    auto outcome = given_up_outcome(*job, "its failure domain is drained");
+    auto outcome =
+        given_up_outcome(*job, refusal_cause::no_executors, "its failure domain is drained");
     outcome.lacked_executors = outcome.end == work::job_end::not_run;
     close(job, outcome);
     return true;
@@ -243,7 +280,7 @@
         return false;
     }
     if (rest == waiters.begin()) {
-        give_up(job, unrenewed);
+        give_up(job, refusal_cause::not_renewed, unrenewed);
         return true;
     }
     const std::vector<waiter> removed(std::make_move_iterator(rest),
@@ -251,7 +288,7 @@
     waiters.erase(rest, waiters.end());
     m_observer.job_event(job->job().id, "job_lease_ended", unrenewed);
     for (const auto& it : removed) {
-        it.done({work::job_end::given_up, unrenewed, min_retry_after});
+        it.done({work::job_end::given_up, unrenewed, retry_after()});
     }
     return false;
 }
@@ -270,26 +307,34 @@
     const auto now = m_clock.now();
     note_executors();
     const bool is_drained = m_executor_manager.are_all_drained();
-    // A drained cell has no capacity, but what runs there ends by itself.
-    const bool is_overloaded = !is_drained && m_admission.is_overloaded(effective_capacity(), now);
+    const double capacity = effective_capacity();
+    // Without executors, any work that was offered a moment ago would look like overload.
+    const bool is_overloaded = capacity > 0 && m_admission.is_overloaded(capacity, now);
+    return_stranded_jobs(now);
     bool has_waiting_tasks = false;
+    bool waits_for_cores = false;
     for (auto it = m_jobs.begin(); it != m_jobs.end();) {
         const auto job = it++;
         if (remove_unrenewed_waiters(job, now) || (is_drained && leave_drained(job))) {
             continue;
         }
         has_waiting_tasks = has_waiting_tasks || job->has_waiting();
+        waits_for_cores = waits_for_cores || is_waiting_for_cores(*job);
         const auto group = rank_of(*job, now).group;
         if (now + answer_margin >= job->give_up_at()) {
-            give_up(job, "its caller's patience ends");
+            give_up(job, refusal_cause::patience, "its caller's patience ends");
         } else if (group == urgency::too_late) {
-            give_up(job, "no executor became free in time");
+            give_up(job, refusal_cause::not_started, "no executor became free in time");
         } else if (group == urgency::late && is_overloaded) {
             // Under overload, a late job would take resources from jobs that can still be on time.
-            give_up(job, "it would be late, and more work comes than can be done");
+            give_up(job, refusal_cause::late_overload,
+                    "it would be late, and more work comes than can be done");
         }
     }
-    if (has_waiting_tasks) {
+    if (!has_waiting_tasks) {
+        m_capacity_meter.note_calm();
+    }
+    if (waits_for_cores) {
         const auto current_load = load();
         if (current_load.capacity_cpu_millis > 0) {
             m_capacity_meter.add_utilization(
@@ -299,6 +344,41 @@
     }
 }
 
+bool dispatcher::is_waiting_for_cores(const job_record& job) const {
+    if (!job.has_waiting() || !may_start(job)) {
+        return false;
+    }
+    const auto& executors = m_executor_manager.executors();
+    return std::any_of(job.tasks().begin(), job.tasks().end(), [&](const task_record& task) {
+        const auto& step = job.step_of(task);
+        return task.state == task_state::waiting && step.max_per_executor == 0 &&
+               std::all_of(executors.begin(), executors.end(), [&](const auto& it) {
+                   return is_eligible(step, job.job().queue.upstream, it.second->info);
+               });
+    });
+}
+
+void dispatcher::return_stranded_jobs(time_point now) {
+    const auto& executors = m_executor_manager.executors();
+    if (effective_capacity() > 0) {
+        m_had_capacity_at = now;
+    }
+    const bool is_outage = now - m_had_capacity_at > tolerated_outage;
+    for (auto it = m_jobs.begin(); it != m_jobs.end();) {
+        const auto job = it++;
+        if (job->may_have_run() || !job->has_waiting()) {
+            continue;
+        }
+        if (is_outage) {
+            auto outcome = given_up_outcome(*job, refusal_cause::no_executors, no_executor_left);
+            outcome.lacked_executors = true;
+            close(job, outcome);
+        } else if (m_had_capacity_at == now && !has_fitting_executors(job->job(), executors)) {
+            give_up(job, refusal_cause::none_fits, "no executor is large enough any more");
+        }
+    }
+}
+
 void dispatcher::note_starts(const job_record& job,
                              const std::vector<const task_record*>& started) {
     if (started.empty()) {
@@ -438,7 +518,8 @@
     for (auto it = m_jobs.begin(); it != m_jobs.end();) {
         const auto job = it++;
         // Callers may have left when the VM stopped, so the runs get no time beyond their leases.
-        close(job, given_up_outcome(*job, "this VM stood still"), m_clock.now());
+        close(job, given_up_outcome(*job, refusal_cause::suspended, "this VM stood still"),
+              m_clock.now());
     }
 }
 
@@ -446,9 +527,9 @@
     auto sum =
         load_of(m_executor_manager.executors(), m_typical_task_cpu_millis, m_speeds, m_clock.now());
     if (sum.capacity_cpu_millis > 0) {
-        sum.backlog_ms = static_cast<std::int64_t>(
-            waiting_cpu_demand() /
-            m_capacity_meter.effective(static_cast<double>(sum.capacity_cpu_millis)));
+        sum.backlog_ms = static_cast<std::int64_t>(milliseconds_for(
+            waiting_cpu_demand(),
+            m_capacity_meter.effective(static_cast<double>(sum.capacity_cpu_millis))));
     }
     return sum;
 }
--- a/source/core/cell/dispatcher.h
+++ b/source/core/cell/dispatcher.h
@@ -25,6 +25,8 @@
     virtual ~job_observer() = default;
     virtual void job_event(const std::string& job, std::string_view event,
                            const std::string& detail) = 0;
+    // For the counters; job_event() reports the refusal itself.
+    virtual void count_refusal(refusal_cause) {}
     // All runs of a job that were open when the job was closed have ended, the last one this long
     // after.
     virtual void runs_stopped(common::milliseconds) {}
@@ -92,15 +94,24 @@
     void close(job_list::iterator job, const work::outcome& outcome);
     // By when the runs of a job that is closed now must have ended.
     common::time_point end_of_runs(const job_record& job) const;
-    void give_up(job_list::iterator job, const std::string& reason);
     // Closes a job whose waiting tasks can't start here, as all executors are in drained domains.
     // Returns whether it was closed.
     bool leave_drained(job_list::iterator job);
-    work::outcome given_up_outcome(const job_record& job, const std::string& reason) const;
+    void give_up(job_list::iterator job, refusal_cause cause, const std::string& reason);
+    work::outcome given_up_outcome(const job_record& job, refusal_cause cause,
+                                   const std::string& reason) const;
+    std::optional<common::milliseconds> capacity_age() const;
     void stop_runs(const job_record& job, common::time_point runs_end_by);
     void note_stopped_run(const work::task_id& task, run_result result);
     void on_failure(job_list::iterator job, task_record& task);
+    // Whether tasks wait only because too few cores are free, so that the executors' utilization
+    // shows how far they can be used.
+    bool is_waiting_for_cores(const job_record& job) const;
+    // Returns jobs that have not run and that no executor here takes any more: another cell may.
+    void return_stranded_jobs(common::time_point now);
     admission_view view_for(const job_record& candidate) const;
+    job_room room_of(const job_record& job) const;
+    common::milliseconds retry_after() const;
     void note_task_sizes(const work::job& job);
     void note_executors();
     void note_pace(const work::executor_info& executor, executor_speeds::change change);
@@ -121,6 +132,7 @@
                            m_stopping_runs, m_durations, m_speeds};
     admission m_admission{fair_limits()};
     capacity_meter m_capacity_meter;
+    common::time_point m_had_capacity_at;
     double m_typical_task_cpu_millis = 0; // of recent jobs; 0 before the first
     std::uint64_t m_next_ticket = 1;
     bool m_is_dispatching = false;
--- a/source/core/cell/executor_manager.h
+++ b/source/core/cell/executor_manager.h
@@ -118,9 +118,7 @@
     // Sends due requests and handles timeouts; call about every 50 ms.
     void tick();
 
-    const std::map<std::string, std::unique_ptr<executor_record>>& executors() const {
-        return m_executors;
-    }
+    const executor_map& executors() const { return m_executors; }
 
 private:
     using record_map = std::map<std::string, std::unique_ptr<executor_record>>;
--- a/source/core/cell/executor_record.h
+++ b/source/core/cell/executor_record.h
@@ -4,7 +4,9 @@
 
 #include <algorithm>
 #include <map>
+#include <memory>
 #include <set>
+#include <string>
 #include <vector>
 
 #include "core/cell/executor_clock.h"
@@ -81,6 +83,8 @@
     common::time_point lost_at;                   // latest
     common::time_point resources_exhausted_until; // no starts until then, after a rejection
     int missed_reports = 0;                       // in a row
+    // When the latest report arrived.
+    std::optional<common::time_point> reported_at;
 
     work::resources free() const { return info.capacity - used; }
     bool is_cold(common::time_point now) const { return now < cold_until; }
@@ -119,4 +123,7 @@
     }
 };
 
+// By id.
+using executor_map = std::map<std::string, std::unique_ptr<executor_record>>;
+
 } // namespace savorytrail::cell
--- a/source/core/cell/placement.h
+++ b/source/core/cell/placement.h
@@ -49,8 +49,6 @@
     bool operator==(const placement&) const = default;
 };
 
-using executor_map = std::map<std::string, std::unique_ptr<executor_record>>;
-
 placement place(const placement_request& request, const executor_map& executors,
                 common::time_point now);
 
--- a/source/core/gateway/gateway.h
+++ b/source/core/gateway/gateway.h
@@ -77,16 +77,32 @@
         cell::done_callback done;
         std::string target; // name of an entry; this entry's own for the local dispatcher
         std::set<std::string> tried;
+        // Shortest of those that cells have refused it with.
+        std::optional<common::milliseconds> retry_after;
         std::uint64_t own_ticket = 0;
         std::uint64_t forward_number = 0; // 0 while it is not forwarded
         forwarding_client::canceller cancel;
     };
 
+    // First tasks of jobs that were forwarded and not refused, in thousandths of a core.
+    struct sent_work {
+        std::int64_t total = 0;
+        std::map<std::uint64_t, std::int64_t> by_forward;
+    };
+
     std::vector<target> targets(const std::set<std::string>& tried) const;
     bool is_drained(const fleet::peer& it) const;
     // Whether no domain with executors is left to place a job in.
     bool are_all_drained() const;
+    std::vector<target> targets_left(const open_job& it) const;
+    job_slack slack_of(const open_job& it) const;
+    // When the least busy cell will have done the work that waits there.
+    common::milliseconds retry_after() const;
     void place(std::uint64_t ticket);
+    void on_refused(std::uint64_t ticket, const work::outcome& outcome);
+    void note_not_offered_further(const open_job& it) const;
+    // The room that was counted for a forward is free, as its job was refused.
+    void return_room(const std::string& entry, std::uint64_t forward_number);
     void forward(std::uint64_t ticket, const fleet::peer& to);
     bool is_held_for(const std::string& dispatcher, std::uint64_t forward_number) const;
     void end_forward(open_job& it);
@@ -96,7 +112,9 @@
     // Callers' patience ran on while the VM was suspended.
     void count_suspension();
     void wait_or_refuse(std::uint64_t ticket);
-    void refuse(std::uint64_t ticket, const std::string& reason);
+    void refuse(std::uint64_t ticket, cell::refusal_cause cause, const std::string& reason);
+    // For the log: what the cells that the job was not offered to have told, and when.
+    std::string describe_targets(const std::vector<target>& list) const;
     void on_outcome(std::uint64_t ticket, const work::outcome& outcome);
     void on_forwarding_failed(std::uint64_t ticket, std::error_code ec);
     void finish(std::uint64_t ticket, const work::outcome& outcome);
@@ -113,10 +131,10 @@
     std::set<std::string> m_executor_domains;
     std::map<std::uint64_t, open_job> m_open;
     std::set<std::uint64_t> m_waiting; // tickets of jobs that found no dispatcher
-    std::map<std::string, std::int64_t> m_sent_since_heartbeat; // thousandths of a core, by entry
-    std::map<std::uint64_t, std::uint64_t> m_forwards;          // tickets, by number of the forward
-    std::map<std::string, lease_stamp> m_last_stamps;           // by dispatcher
-    common::milliseconds m_suspended;                           // total at the last tick
+    std::map<std::string, sent_work> m_sent_since_heartbeat; // by entry
+    std::map<std::uint64_t, std::uint64_t> m_forwards;       // tickets, by number of the forward
+    std::map<std::string, lease_stamp> m_last_stamps;        // by dispatcher
+    common::milliseconds m_suspended;                        // total at the last tick
     std::uint64_t m_next_ticket = 1;
     std::uint64_t m_next_forward = 1;
 };
