Cell: place tasks where the least value for coming tasks is lost

Tasks of about 32 cores on executors of 64 and 96 leave rests that few tasks fit, and the published usable capacity counted them in whole tasks of the average size only.

A histogram of the last 256 task sizes gives the expected use of a free amount (a table, recomputed at most every 500 ms; a lookup is O(1)). Placement takes the executor that loses the least of it, then best fit as before; the usable capacity is the sum over the executors. Nothing changes before 16 samples, or where the largest size is at most an eighth of the smallest executor. accepts_work() is now asked only of executors that would be chosen, so a choice costs no more than before.

--- a/source/core/cell/cell_load.cpp
+++ b/source/core/cell/cell_load.cpp
@@ -14,7 +14,7 @@
 } // namespace
 
 cell_load load_of(const std::map<std::string, std::unique_ptr<executor_record>>& executors,
-                  double typical_task_cpu_millis, common::time_point now) {
+                  const packing& values, double typical_task_cpu_millis, common::time_point now) {
     cell_load sum;
     const auto piece = std::max<std::int64_t>(std::llround(typical_task_cpu_millis), 1);
     for (const auto& [id, it] : executors) {
@@ -24,7 +24,7 @@
         sum.capacity_cpu_millis += it->info.capacity.cpu_millis;
         const auto free = std::max<std::int64_t>(it->free().cpu_millis, 0);
         sum.free_cpu_millis += free;
-        sum.usable_cpu_millis += free / piece * piece;
+        sum.usable_cpu_millis += values.is_known() ? values.value(free) : free / piece * piece;
     }
     return sum;
 }
--- a/source/core/cell/cell_load.h
+++ b/source/core/cell/cell_load.h
@@ -7,13 +7,15 @@
 #include <string>
 
 #include "core/cell/executor_record.h"
+#include "core/cell/packing.h"
 
 namespace savorytrail::cell {
 
 struct cell_load {
     std::int64_t capacity_cpu_millis = 0; // of the executors that accept work
     std::int64_t free_cpu_millis = 0;
-    // The part of it that typical tasks can use: what is free on an executor in whole tasks.
+    // The part of it that coming tasks are expected to use; while too few of them are known, or all
+    // are small, what is free on each executor in whole typical tasks.
     std::int64_t usable_cpu_millis = 0;
     std::int64_t backlog_ms = 0; // time to work off the waiting tasks on all of them
 
@@ -22,6 +24,6 @@
 
 // The load without the backlog. `typical_task_cpu_millis`: 0 before the first job.
 cell_load load_of(const std::map<std::string, std::unique_ptr<executor_record>>& executors,
-                  double typical_task_cpu_millis, common::time_point now);
+                  const packing& values, double typical_task_cpu_millis, common::time_point now);
 
 } // namespace savorytrail::cell
--- a/source/core/cell/dispatcher.cpp
+++ b/source/core/cell/dispatcher.cpp
@@ -103,6 +103,7 @@
         const auto size = static_cast<double>(step.task_resources.cpu_millis);
         const double weight = m_typical_task_cpu_millis == 0 ? 1 : task_size_weight;
         m_typical_task_cpu_millis += weight * (size - m_typical_task_cpu_millis);
+        m_packing.add(step.task_resources.cpu_millis, step.tasks);
     }
 }
 
@@ -115,8 +116,8 @@
 }
 
 double dispatcher::effective_capacity() const {
-    const auto nominal =
-        load_of(m_executor_manager.executors(), m_typical_task_cpu_millis, m_clock.now());
+    const auto nominal = load_of(m_executor_manager.executors(), m_packing,
+                                 m_typical_task_cpu_millis, m_clock.now());
     return m_capacity_meter.effective(static_cast<double>(nominal.capacity_cpu_millis));
 }
 
@@ -304,6 +305,7 @@
     }
     m_is_dispatching = true;
     const auto now = m_clock.now();
+    m_packing.refresh(m_executor_manager.executors(), now);
     std::vector<std::pair<rank, job_record*>> order;
     for (auto& it : m_jobs) {
         if (it.has_waiting() && may_start(it)) {
@@ -397,7 +399,8 @@
 }
 
 cell_load dispatcher::load() const {
-    auto sum = load_of(m_executor_manager.executors(), m_typical_task_cpu_millis, m_clock.now());
+    auto sum = load_of(m_executor_manager.executors(), m_packing, m_typical_task_cpu_millis,
+                       m_clock.now());
     if (sum.capacity_cpu_millis > 0) {
         sum.backlog_ms = static_cast<std::int64_t>(
             waiting_cpu_demand() /
--- a/source/core/cell/dispatcher.h
+++ b/source/core/cell/dispatcher.h
@@ -13,6 +13,7 @@
 #include "core/cell/duration_model.h"
 #include "core/cell/executor_manager.h"
 #include "core/cell/job_record.h"
+#include "core/cell/packing.h"
 #include "core/cell/ranking.h"
 #include "core/cell/stopping_runs.h"
 #include "core/cell/task_starter.h"
@@ -106,7 +107,8 @@
     job_list m_jobs;
     absl::flat_hash_map<std::string, job_list::iterator> m_by_id;
     stopping_runs m_stopping_runs;
-    task_starter m_starter{m_limits, m_clock, m_executor_manager, m_stopping_runs};
+    packing m_packing;
+    task_starter m_starter{m_limits, m_clock, m_executor_manager, m_stopping_runs, m_packing};
     admission m_admission{fair_limits()};
     capacity_meter m_capacity_meter;
     duration_model m_durations;
--- a/source/core/cell/placement.cpp
+++ b/source/core/cell/placement.cpp
@@ -22,6 +22,10 @@
     cost.is_avoided = it.info.id == *request.avoid;
     cost.is_on_other_rack =
         !request.step->preferred_rack.empty() && !it.info.has_label(request.step->preferred_rack);
+    if (request.values != nullptr) {
+        cost.packing_loss =
+            request.values->loss(it.free().cpu_millis, request.step->task_resources.cpu_millis);
+    }
     cost.cpu_millis_left = it.free().cpu_millis - request.step->task_resources.cpu_millis;
     return cost;
 }
@@ -34,11 +38,12 @@
     const std::string* best = nullptr;
     placement_cost lowest;
     for (const auto& [id, record] : executors) {
-        if (!can_run(request, *record) || !record->accepts_work(now)) {
+        if (!can_run(request, *record)) {
             continue;
         }
         const auto cost = cost_on(request, *record);
-        if (best == nullptr || cost < lowest) {
+        // accepts_work() looks at every run, so it is asked only of executors that would be chosen.
+        if ((best == nullptr || cost < lowest) && record->accepts_work(now)) {
             best = &id;
             lowest = cost;
         }
--- a/source/core/cell/placement.h
+++ b/source/core/cell/placement.h
@@ -1,5 +1,6 @@
-// Chooses an executor for a task. Executors in the rack of the task's data come first, then best
-// fit: the executor with the least CPU left, so that large tasks still fit elsewhere.
+// Chooses an executor for a task. Executors in the rack of the task's data come first, then the one
+// whose free capacity loses the least value for coming tasks, then best fit: the executor with the
+// least CPU left, so that large tasks still fit elsewhere.
 #pragma once
 
 #include <compare>
@@ -9,6 +10,7 @@
 #include <string>
 
 #include "core/cell/executor_record.h"
+#include "core/cell/packing.h"
 #include "core/work/job.h"
 
 namespace savorytrail::cell {
@@ -17,6 +19,7 @@
     const work::step* step = nullptr;
     const std::string* upstream = nullptr;
     const std::string* avoid = nullptr; // chosen only if no other executor fits
+    const packing* values = nullptr;    // of free capacity
     std::function<int(const std::string& executor)>
         tasks_on_executor; // active tasks of the step there, for its max_per_executor
 };
@@ -25,6 +28,7 @@
 struct placement_cost {
     bool is_avoided = false;
     bool is_on_other_rack = false;
+    std::int64_t packing_loss = 0;    // see packing::loss()
     std::int64_t cpu_millis_left = 0; // after the task has started
 
     auto operator<=>(const placement_cost&) const = default;
--- a/source/core/cell/task_starter.cpp
+++ b/source/core/cell/task_starter.cpp
@@ -21,6 +21,7 @@
     request.step = &job.step_of(task);
     request.upstream = &job.job().queue.upstream;
     request.avoid = &task.avoid;
+    request.values = &m_packing;
     request.tasks_on_executor = [&](const std::string& executor) {
         return static_cast<int>(
             std::count_if(job.tasks().begin(), job.tasks().end(), [&](const task_record& other) {
--- a/source/unit_tests/cell/simulated_cell.cpp
+++ b/source/unit_tests/cell/simulated_cell.cpp
@@ -17,16 +17,16 @@
 
 } // namespace
 
-simulated_cell::simulated_cell(std::uint64_t seed, int executors, work::resources capacity,
-                               int holders)
+simulated_cell::simulated_cell(std::uint64_t seed,
+                               const std::vector<work::resources>& capacities, int holders)
     : m_random(seed) {
-    for (int i = 0; i < executors; i++) {
+    for (int i = 0; i < static_cast<int>(capacities.size()); i++) {
         work::executor_info info;
         info.id = "e" + std::to_string(i);
         info.address = {"127.0.0.1", static_cast<std::uint16_t>(1000 + i)};
         info.failure_domain = "d";
         info.upstream = "u";
-        info.capacity = capacity;
+        info.capacity = capacities[i];
         info.labels = {"rack-" + std::to_string(i / executors_per_rack)};
         const double rate = 0.98 + 0.02 * static_cast<double>(m_random() % 100) / 100;
         m_executors.push_back(std::make_unique<simulated_executor>(info, rate));
--- a/source/unit_tests/cell/simulated_cell.h
+++ b/source/unit_tests/cell/simulated_cell.h
@@ -28,7 +28,10 @@
 public:
     class holder;
 
-    simulated_cell(std::uint64_t seed, int executors, work::resources capacity, int holders);
+    simulated_cell(std::uint64_t seed, int executors, work::resources capacity, int holders)
+        : simulated_cell(seed, std::vector<work::resources>(executors, capacity), holders) {}
+    // One executor for each of the capacities.
+    simulated_cell(std::uint64_t seed, const std::vector<work::resources>& capacities, int holders);
     ~simulated_cell();
 
     common::time_point now() const { return m_now; }
