Cell: hold back jobs with slack while more urgent ones lack room

Long tasks that start as soon as anything is free leave short ones, which can wait 96 ms at most, without free capacity under contention.

For each priority level the cell averages the cores that its jobs need at a time. While a more urgent level has found no free capacity within 300 ms, a job that has not started and has slack beyond a margin waits if its start would leave less than that need (at most a quarter of the capacity). Held back jobs are looked at on each tick.

--- a/source/core/cell/dispatcher.cpp
+++ b/source/core/cell/dispatcher.cpp
@@ -94,6 +94,7 @@
     m_jobs.push_back(std::move(record));
     m_by_id[job.id] = std::prev(m_jobs.end());
     note_task_sizes(job);
+    m_reservation.add_job(m_jobs.back().job(), m_clock.now());
     on_resources_freed();
     return ticket;
 }
@@ -107,17 +108,36 @@
     }
 }
 
+bool dispatcher::counts_as_started(const job_record& job, std::optional<double>& free_left) const {
+    if (!job.is_held_back()) {
+        return false;
+    }
+    if (!free_left) {
+        free_left = static_cast<double>(own_load().usable_cpu_millis);
+    }
+    if (job.waiting_cpu_millis() > *free_left) {
+        return false;
+    }
+    *free_left -= job.waiting_cpu_millis();
+    return true;
+}
+
+cell_load dispatcher::own_load() const {
+    return load_of(m_executor_manager.executors(), m_packing, m_typical_task_cpu_millis,
+                   m_clock.now());
+}
+
 double dispatcher::waiting_cpu_demand() const {
     double sum = 0;
+    std::optional<double> free_left;
     for (const auto& it : m_jobs) {
-        sum += it.waiting_cpu_demand();
+        sum += counts_as_started(it, free_left) ? 0 : it.waiting_cpu_demand();
     }
     return sum;
 }
 
 double dispatcher::effective_capacity() const {
-    const auto nominal = load_of(m_executor_manager.executors(), m_packing,
-                                 m_typical_task_cpu_millis, m_clock.now());
+    const auto nominal = own_load();
     return m_capacity_meter.effective(static_cast<double>(nominal.capacity_cpu_millis));
 }
 
@@ -126,7 +146,11 @@
     const auto candidate_rank = rank_of(candidate, now);
     admission_view view;
     view.capacity = effective_capacity();
+    std::optional<double> free_left;
     for (const auto& it : m_jobs) {
+        if (counts_as_started(it, free_left)) {
+            continue;
+        }
         const double work = it.waiting_cpu_demand();
         view.work_waiting += work;
         if (it.has_waiting() && rank_of(it, now) < candidate_rank) {
@@ -179,6 +203,7 @@
 void dispatcher::close(job_list::iterator job, const work::outcome& outcome,
                        time_point runs_end_by) {
     m_by_id.erase(job->job().id);
+    end_hold(*job);
     const job_record closed = std::move(*job);
     m_jobs.erase(job);
     stop_runs(closed, runs_end_by);
@@ -257,12 +282,15 @@
     const auto now = m_clock.now();
     const bool is_overloaded = m_admission.is_overloaded(effective_capacity(), now);
     bool has_waiting_tasks = false;
+    bool has_held_back_jobs = false;
     for (auto it = m_jobs.begin(); it != m_jobs.end();) {
         const auto job = it++;
         if (remove_unrenewed_waiters(job, now)) {
             continue;
         }
-        has_waiting_tasks = has_waiting_tasks || job->has_waiting();
+        // What is held back leaves capacity free on purpose, which says nothing about utilization.
+        has_held_back_jobs = has_held_back_jobs || job->is_held_back();
+        has_waiting_tasks = has_waiting_tasks || (job->has_waiting() && !job->is_held_back());
         const auto group = rank_of(*job, now).group;
         if (now + answer_margin >= job->give_up_at()) {
             give_up(job, "its caller's patience ends");
@@ -281,6 +309,83 @@
                         static_cast<double>(current_load.capacity_cpu_millis));
         }
     }
+    note_contention(now);
+    if (has_held_back_jobs) {
+        on_resources_freed(); // the slack of one may be used up, and no run may end in time
+    }
+}
+
+void dispatcher::note_contention(time_point now) {
+    auto levels = m_reservation.contended_levels(now);
+    if (levels == m_contended_levels) {
+        return;
+    }
+    const auto note_missing = [&](const std::vector<int>& from, const std::vector<int>& in,
+                                  bool is_on) {
+        for (const int it : from) {
+            if (std::find(in.begin(), in.end(), it) == in.end()) {
+                m_observer.contention_changed(it, is_on);
+            }
+        }
+    };
+    note_missing(m_contended_levels, levels, false);
+    note_missing(levels, m_contended_levels, true);
+    m_contended_levels = std::move(levels);
+}
+
+void dispatcher::begin_reservation_pass(time_point now) {
+    if (!m_reservation.has_contention(now)) {
+        return;
+    }
+    const auto current = own_load();
+    m_reservation.begin_pass(static_cast<double>(current.usable_cpu_millis),
+                             static_cast<double>(current.capacity_cpu_millis));
+    for (const auto& it : m_jobs) {
+        m_reservation.add_use(it.job().queue.priority, it.active_cpu_millis());
+    }
+}
+
+bool dispatcher::is_held_back(job_record& job, time_point now) {
+    const auto level = m_reservation.must_wait_for(job, job.waiting_cpu_millis(), now);
+    if (!level) {
+        if (job.held_back) {
+            job.held_back->is_in_force = false;
+        }
+        return false;
+    }
+    if (!job.held_back) {
+        job.held_back = hold{now, *level};
+        m_observer.job_event(job.job().id, "job_held_back",
+                             "for jobs of priority " + std::to_string(*level));
+    }
+    job.held_back->is_in_force = true;
+    return true;
+}
+
+void dispatcher::end_hold(job_record& job) {
+    if (job.held_back) {
+        const auto held =
+            std::chrono::duration_cast<milliseconds>(m_clock.now() - job.held_back->since);
+        m_observer.hold_ended(job.held_back->for_priority, held);
+        job.held_back.reset();
+    }
+}
+
+bool dispatcher::lacks_only_free_capacity(const job_record& job) const {
+    const auto& executors = m_executor_manager.executors();
+    return std::any_of(job.tasks().begin(), job.tasks().end(), [&](const task_record& task) {
+        if (task.state != task_state::waiting || m_stopping_runs.contains(job.id_of(task))) {
+            return false;
+        }
+        const auto& step = job.step_of(task);
+        return std::any_of(executors.begin(), executors.end(), [&](const auto& it) {
+            const auto& info = it.second->info;
+            return it.second->state == claim_state::held &&
+                   info.upstream == job.job().queue.upstream &&
+                   info.capacity.covers(step.task_resources) &&
+                   (step.required_label.empty() || info.has_label(step.required_label));
+        });
+    });
 }
 
 void dispatcher::note_starts(const job_record& job,
@@ -306,6 +411,7 @@
     m_is_dispatching = true;
     const auto now = m_clock.now();
     m_packing.refresh(m_executor_manager.executors(), now);
+    begin_reservation_pass(now);
     std::vector<std::pair<rank, job_record*>> order;
     for (auto& it : m_jobs) {
         if (it.has_waiting() && may_start(it)) {
@@ -315,7 +421,20 @@
     std::stable_sort(order.begin(), order.end(),
                      [](const auto& a, const auto& b) { return a.first < b.first; });
     for (const auto& [job_rank, job] : order) {
-        note_starts(*job, m_starter.start_waiting_tasks(*job));
+        const int priority = job->job().queue.priority;
+        if (is_held_back(*job, now)) {
+            continue;
+        }
+        const double used_before = job->active_cpu_millis();
+        const auto started = m_starter.start_waiting_tasks(*job);
+        note_starts(*job, started);
+        if (!started.empty()) {
+            m_reservation.note_started(priority, job->active_cpu_millis() - used_before);
+            end_hold(*job);
+        }
+        if (job->has_waiting() && lacks_only_free_capacity(*job)) {
+            m_reservation.note_shortage(priority, now);
+        }
     }
     m_is_dispatching = false;
 }
@@ -399,8 +518,14 @@
 }
 
 cell_load dispatcher::load() const {
-    auto sum = load_of(m_executor_manager.executors(), m_packing, m_typical_task_cpu_millis,
-                       m_clock.now());
+    auto sum = own_load();
+    std::optional<double> free_left;
+    for (const auto& it : m_jobs) {
+        counts_as_started(it, free_left);
+    }
+    if (free_left) {
+        sum.usable_cpu_millis = static_cast<std::int64_t>(*free_left);
+    }
     if (sum.capacity_cpu_millis > 0) {
         sum.backlog_ms = static_cast<std::int64_t>(
             waiting_cpu_demand() /
--- a/source/core/cell/dispatcher.h
+++ b/source/core/cell/dispatcher.h
@@ -15,6 +15,7 @@
 #include "core/cell/job_record.h"
 #include "core/cell/packing.h"
 #include "core/cell/ranking.h"
+#include "core/cell/room_reservation.h"
 #include "core/cell/stopping_runs.h"
 #include "core/cell/task_starter.h"
 
@@ -28,6 +29,10 @@
     // All runs of a job that were open when the job was closed have ended, the last one this long
     // after.
     virtual void runs_stopped(common::milliseconds) {}
+    // A job that was held back for jobs of level `for_priority` has started, or was closed.
+    virtual void hold_ended(int /*for_priority*/, common::milliseconds) {}
+    // Jobs of this level have recently found no free capacity, or no longer.
+    virtual void contention_changed(int /*priority*/, bool /*is_on*/) {}
 
 protected:
     job_observer() = default;
@@ -84,6 +89,13 @@
     // ones have ended, even if nothing has shown so, and must not keep the job running.
     void remove_earlier_waiters(job_record& job, std::uint64_t ticket);
     void note_starts(const job_record& job, const std::vector<const task_record*>& started);
+    void begin_reservation_pass(common::time_point now);
+    // Whether the job leaves free capacity to more urgent ones; records it.
+    bool is_held_back(job_record& job, common::time_point now);
+    void end_hold(job_record& job);
+    // Whether a waiting task of the job would fit an executor that had nothing to do.
+    bool lacks_only_free_capacity(const job_record& job) const;
+    void note_contention(common::time_point now);
     // Runs of the job end by `runs_end_by` at the latest.
     void close(job_list::iterator job, const work::outcome& outcome,
                common::time_point runs_end_by);
@@ -99,6 +111,11 @@
     void note_task_sizes(const work::job& job);
     double waiting_cpu_demand() const;
     double effective_capacity() const;
+    cell_load own_load() const; // without the backlog, and with what is held back still free
+    // Whether the job is held back and would fit what is free. Such jobs count as if they ran: only
+    // the reservation keeps them waiting, and neither callers nor other entries are to take the
+    // cell for full. `free_left` is what earlier calls of the same loop have left.
+    bool counts_as_started(const job_record& job, std::optional<double>& free_left) const;
 
     const limits m_limits;
     const common::clock& m_clock;
@@ -108,6 +125,8 @@
     absl::flat_hash_map<std::string, job_list::iterator> m_by_id;
     stopping_runs m_stopping_runs;
     packing m_packing;
+    room_reservation m_reservation;
+    std::vector<int> m_contended_levels; // as last told to the observer
     task_starter m_starter{m_limits, m_clock, m_executor_manager, m_stopping_runs, m_packing};
     admission m_admission{fair_limits()};
     capacity_meter m_capacity_meter;
--- a/source/core/cell/job_record.cpp
+++ b/source/core/cell/job_record.cpp
@@ -51,7 +51,12 @@
 void job_record::set_state(task_record& it, task_state state) {
     m_waiting -= it.state == task_state::waiting ? 1 : 0;
     m_done -= it.state == task_state::done ? 1 : 0;
+    const auto cpu_millis = static_cast<double>(step_of(it).task_resources.cpu_millis);
+    m_active_cpu_millis -= it.state == task_state::active ? cpu_millis : 0;
+    m_waiting_cpu_millis -= it.state == task_state::waiting ? cpu_millis : 0;
     it.state = state;
+    m_active_cpu_millis += it.state == task_state::active ? cpu_millis : 0;
+    m_waiting_cpu_millis += it.state == task_state::waiting ? cpu_millis : 0;
     m_waiting += it.state == task_state::waiting ? 1 : 0;
     m_done += it.state == task_state::done ? 1 : 0;
 }
--- a/source/core/cell/job_record.h
+++ b/source/core/cell/job_record.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -39,6 +40,13 @@
     common::time_point remove_at = common::time_point::max();
 };
 
+// A job that could have started waits for jobs of a more urgent level (see room_reservation).
+struct hold {
+    common::time_point since;
+    int for_priority = 0;
+    bool is_in_force = true; // false while it only waits for an executor
+};
+
 class job_record {
 public:
     // `submitted` is the job as its caller sent it; `job` has predicted durations as estimates.
@@ -59,6 +67,9 @@
     bool is_done() const { return m_done == m_tasks.size(); }
     bool has_waiting() const { return m_waiting > 0; }
     std::size_t waiting() const { return m_waiting; }
+    // Of its tasks in state `active` or `waiting`, in thousandths of a core.
+    double active_cpu_millis() const { return m_active_cpu_millis; }
+    double waiting_cpu_millis() const { return m_waiting_cpu_millis; }
 
     void set_state(task_record& it, task_state state);
 
@@ -78,6 +89,9 @@
     common::time_point held_until() const;
 
     std::vector<waiter> waiters; // never empty while the job is open
+    // Set from when it is first held back for more urgent jobs until it starts.
+    std::optional<hold> held_back;
+    bool is_held_back() const { return held_back && held_back->is_in_force; }
 
 private:
     work::job m_job;
@@ -85,6 +99,8 @@
     std::vector<task_record> m_tasks;
     std::size_t m_done = 0;
     std::size_t m_waiting = 0;
+    double m_active_cpu_millis = 0;
+    double m_waiting_cpu_millis = 0;
     int m_possible_starts = 0;
     common::time_point m_arrived;
     common::time_point m_on_time_until;
--- a/source/unit_tests/cell/contention_test.cpp
+++ b/source/unit_tests/cell/contention_test.cpp
@@ -73,6 +73,8 @@
 
 private:
     static constexpr int executors = 24;
+    // Between a caller's request and the cell, by way of another entry.
+    static constexpr milliseconds way_to_cell{20};
 
     static std::vector<work::resources> capacities() {
         std::vector<work::resources> list;
@@ -129,9 +131,12 @@
         job.steps[0].estimate = milliseconds(
             std::max<std::int64_t>(std::lround(longest * std::exp(normal(0, 0.4))), 1));
         job.patience = milliseconds(std::lround(3 * objective));
+        job.waited = way_to_cell;
         m_worth.at(number).jobs++;
-        m_cell.at(0).submit(job, [this, number, objective, at = m_cell.now()](const auto& it) {
-            const auto took = std::chrono::duration<double, std::milli>(m_cell.now() - at).count();
+        m_cell.at(0).submit(job, [this, number, objective,
+                                  at = m_cell.now()](const work::outcome& it) {
+            const auto took =
+                std::chrono::duration<double, std::milli>(m_cell.now() - at + way_to_cell).count();
             reasons[std::string(offered_queues.at(number).name) + ": " + it.reason +
                     (it.reason.empty() && took > objective ? "late" : "")]++;
             if (it.end == work::job_end::succeeded && took <= 3 * objective) {
