--- a/source/core/cell/ranking.h
+++ b/source/core/cell/ranking.h
@@ -3,7 +3,8 @@
 //  2. jobs that can still be on time, the earliest latest start time first;
 //  3. jobs that will be late, the smallest first;
 //  4. jobs whose answer would come too late to be of use.
-// Ties are broken by the priority of the queue.
+// The latest start time is compared in steps of 20 ms. Ties are broken by the priority of the
+// queue.
 #pragma once
 
 #include <compare>
