--- a/source/core/telemetry/job_metrics.cpp
+++ b/source/core/telemetry/job_metrics.cpp
@@ -3,7 +3,7 @@
 namespace savorytrail::telemetry {
 namespace {
 
-enum family_index : std::size_t { answers, events, stops };
+enum family_index : std::size_t { answers, events, stops, holds };
 
 std::vector<family> make_families() {
     return {
@@ -19,6 +19,10 @@
          "Time from a job's closing to the end of its last run, of jobs with runs to stop.",
          metric_kind::histogram,
          {0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1, 1.3, 2, 5}},
+        {"savory_job_held_back_seconds",
+         "Time for which a job was held back, by the priority that it left capacity to.",
+         metric_kind::histogram,
+         {0.02, 0.04, 0.08, 0.15, 0.3, 0.5, 1, 2}},
     };
 }
 
@@ -35,6 +39,11 @@
     m_registry.observe(stops, {}, std::chrono::duration<double>(after).count());
 }
 
+void job_metrics::observe_hold(int for_priority, std::chrono::milliseconds held) {
+    m_registry.observe(holds, {{"for_priority", std::to_string(for_priority)}},
+                       std::chrono::duration<double>(held).count());
+}
+
 void job_metrics::count_event(std::string_view event) {
     m_registry.add(events, {{"event", std::string(event)}});
 }
--- a/source/core/telemetry/job_metrics.h
+++ b/source/core/telemetry/job_metrics.h
@@ -16,6 +16,8 @@
     void observe_answer(std::string_view end, std::chrono::milliseconds response);
     // All runs of a closed job have ended, the last one this long after the job was closed.
     void observe_runs_stopped(std::chrono::milliseconds after);
+    // A job was held back for jobs of this priority until it started or was closed.
+    void observe_hold(int for_priority, std::chrono::milliseconds held);
     // A decision or a state change, by its event name in the log.
     void count_event(std::string_view event);
 
--- a/source/unit_tests/cell/contention_test.cpp
+++ b/source/unit_tests/cell/contention_test.cpp
@@ -195,10 +195,12 @@
 
 INSTANTIATE_TEST_SUITE_P(
     policy, contention,
-    testing::Values(contention_case{"calm", 0.49, {{milliseconds(12000)}}, {}, 0, false},
-                    contention_case{"bursts_at_049", 0.49, long_then_short, {}, 0, false},
-                    contention_case{"bursts_at_056", 0.56, long_then_short, {}, 0, true},
-                    contention_case{"bursts_at_064", 0.64, long_then_short, {}, 0, true}),
+    testing::Values(
+        contention_case{"calm", 0.49, {{milliseconds(12000)}}, {0.99, 0.995, 0.995}, 0.998, false},
+        // The totals are those of the version without the parts.
+        contention_case{"bursts_at_049", 0.49, long_then_short, {0.98, 0.98, 0.94}, 0.972, true},
+        contention_case{"bursts_at_056", 0.56, long_then_short, {0.97, 0.97, 0.95}, 0.970, true},
+        contention_case{"bursts_at_064", 0.64, long_then_short, {0.945, 0.92, 0.87}, 0.920, true}),
     [](const auto& it) { return it.param.name; });
 
 } // namespace
--- a/source/unit_tests/telemetry/metrics_test.cpp
+++ b/source/unit_tests/telemetry/metrics_test.cpp
@@ -90,6 +90,18 @@
     EXPECT_EQ(value_of(result, name + "_sum"), 0.25);
 }
 
+TEST(job_metrics, count_held_back_jobs_by_the_priority_that_they_wait_for) {
+    job_metrics metrics;
+    metrics.observe_hold(0, milliseconds(120));
+    metrics.observe_hold(-7, milliseconds(10));
+    exposition out;
+    metrics.write(out);
+    const auto result = read_back(out);
+    const std::string name = "savory_job_held_back_seconds";
+    EXPECT_EQ(value_of(result, name + "_sum", {{"for_priority", "0"}}), 0.12);
+    EXPECT_EQ(value_of(result, name + "_count", {{"for_priority", "-7"}}), 1);
+}
+
 struct ratio_case {
     int response_ms;
     int ideal_ms;
