--- a/source/core/cell/cell_load.cpp
+++ b/source/core/cell/cell_load.cpp
@@ -17,8 +17,9 @@
 
 } // namespace
 
-cell_load load_of(const executor_map& executors, double typical_task_cpu_millis,
-                  const executor_speeds& speeds, common::time_point now) {
+cell_load load_of(const executor_map& executors, const packing& values,
+                  double typical_task_cpu_millis, const executor_speeds& speeds,
+                  common::time_point now) {
     cell_load sum;
     const auto piece = std::max<std::int64_t>(std::llround(typical_task_cpu_millis), 1);
     for (const auto& [id, it] : executors) {
@@ -38,7 +39,7 @@
         const auto free = std::max<std::int64_t>(it->free().cpu_millis, 0);
         sum.free_cpu_millis += as_work(free, speed);
         if (it->accepts_work(now)) {
-            const auto whole = free / piece * piece;
+            const auto whole = values.is_known() ? values.value(free) : free / piece * piece;
             // On probation it takes one task.
             sum.usable_cpu_millis +=
                 as_work(it->health.is_on_probation() ? std::min(whole, piece) : whole, speed);
--- a/source/core/cell/dispatcher.h
+++ b/source/core/cell/dispatcher.h
@@ -14,7 +14,9 @@
 #include "core/cell/executor_manager.h"
 #include "core/cell/executor_speed.h"
 #include "core/cell/job_record.h"
+#include "core/cell/packing.h"
 #include "core/cell/ranking.h"
+#include "core/cell/room_reservation.h"
 #include "core/cell/stopping_runs.h"
 #include "core/cell/task_starter.h"
 
@@ -30,6 +32,10 @@
     // All runs of a job that were open when the job was closed have ended, the last one this long
     // after.
     virtual void runs_stopped(common::milliseconds) {}
+    // A job that was held back for jobs of level `for_priority` has started, or was closed.
+    virtual void hold_ended(int /*for_priority*/, common::milliseconds) {}
+    // Jobs of this level have recently found no free capacity, or no longer.
+    virtual void contention_changed(int /*priority*/, bool /*is_on*/) {}
 
 protected:
     job_observer() = default;
@@ -88,6 +94,13 @@
     // ones have ended, even if nothing has shown so, and must not keep the job running.
     void remove_earlier_waiters(job_record& job, std::uint64_t ticket);
     void note_starts(const job_record& job, const std::vector<const task_record*>& started);
+    void begin_reservation_pass(common::time_point now);
+    // Whether the job leaves free capacity to more urgent ones; records it.
+    bool is_held_back(job_record& job, common::time_point now);
+    void end_hold(job_record& job);
+    // Whether a waiting task of the job would fit an executor that had nothing to do.
+    bool lacks_only_free_capacity(const job_record& job) const;
+    void note_contention(common::time_point now);
     // Runs of the job end by `runs_end_by` at the latest.
     void close(job_list::iterator job, const work::outcome& outcome,
                common::time_point runs_end_by);
@@ -117,6 +130,11 @@
     void note_pace(const work::executor_info& executor, executor_speeds::change change);
     double waiting_cpu_demand() const;
     double effective_capacity() const;
+    cell_load own_load() const; // without the backlog, and with what is held back still free
+    // Whether the job is held back and would fit what is free. Such jobs count as if they ran: only
+    // the reservation keeps them waiting, and neither callers nor other entries are to take the
+    // cell for full. `free_left` is what earlier calls of the same loop have left.
+    bool counts_as_started(const job_record& job, std::optional<double>& free_left) const;
 
     const limits m_limits;
     const common::clock& m_clock;
@@ -128,8 +146,11 @@
     duration_model m_durations; // for speed 1
     executor_speeds m_speeds;
     std::uint64_t m_known_claims = 0; // version of the executors that m_speeds knows
-    task_starter m_starter{m_limits,        m_clock,     m_executor_manager,
-                           m_stopping_runs, m_durations, m_speeds};
+    packing m_packing;
+    room_reservation m_reservation;
+    std::vector<int> m_contended_levels; // as last told to the observer
+    task_starter m_starter{m_limits,    m_clock,  m_executor_manager, m_stopping_runs,
+                           m_durations, m_speeds, m_packing};
     admission m_admission{fair_limits()};
     capacity_meter m_capacity_meter;
     common::time_point m_had_capacity_at;
--- a/source/core/cell/placement.cpp
+++ b/source/core/cell/placement.cpp
@@ -91,6 +91,10 @@
     if (request.speeds != nullptr) {
         add_cost_of_speed(request, it.info, cost);
     }
+    if (request.values != nullptr) {
+        cost.packing_loss =
+            request.values->loss(it.free().cpu_millis, request.step->task_resources.cpu_millis);
+    }
     cost.cpu_millis_left = it.free().cpu_millis - request.step->task_resources.cpu_millis;
     return cost;
 }
@@ -102,11 +106,12 @@
     placement best;
     placement_cost lowest;
     for (const auto& [id, record] : executors) {
-        if (!can_run(request, *record, now) || !record->accepts_work(now)) {
+        if (!can_run(request, *record, now)) {
             continue;
         }
         const auto cost = cost_on(request, *record, now);
-        if (best.executor == nullptr || cost < lowest) {
+        // accepts_work() looks at every run, so it is asked only of executors that would be chosen.
+        if ((best.executor == nullptr || cost < lowest) && record->accepts_work(now)) {
             best = {&id, cost.is_late};
             lowest = cost;
         }
--- a/source/core/cell/placement.h
+++ b/source/core/cell/placement.h
@@ -1,8 +1,9 @@
-// Chooses an executor for a task. Executors in the rack of the task's data come first, then best
-// fit: the executor with the least CPU left, so that large tasks still fit elsewhere. Where the
-// speeds of executors differ, those on which the task can be expected to end in time come before
-// the others; among the former the slowest is chosen, so that the fast ones stay free for tasks
-// with little time left, and among the latter the fastest.
+// Chooses an executor for a task. Executors in the rack of the task's data come first, then the one
+// whose free capacity loses the least value for coming tasks, then best fit: the executor with the
+// least CPU left, so that large tasks still fit elsewhere. Where the speeds of executors differ,
+// those on which the task can be expected to end in time come before the others; among the former
+// the slowest is chosen, so that the fast ones stay free for tasks with little time left, and among
+// the latter the fastest.
 #pragma once
 
 #include <compare>
@@ -13,6 +14,7 @@
 
 #include "core/cell/executor_record.h"
 #include "core/cell/executor_speed.h"
+#include "core/cell/packing.h"
 #include "core/work/job.h"
 
 namespace savorytrail::cell {
@@ -21,6 +23,7 @@
     const work::step* step = nullptr;
     const std::string* upstream = nullptr;
     const std::string* avoid = nullptr; // chosen only if no other executor fits
+    const packing* values = nullptr;    // of free capacity
     std::function<int(const std::string& executor)>
         tasks_on_executor; // active tasks of the step there, for its max_per_executor
     std::function<bool(const std::string& failure_domain)> has_begun_in; // the task's job
@@ -37,6 +40,7 @@
     bool is_cold = false;             // slow after its start
     bool is_late = false;             // not expected to end in time there, with a margin
     int speed_steps = 0;              // slower where the task is on time, faster where it is late
+    std::int64_t packing_loss = 0;    // see packing::loss()
     std::int64_t cpu_millis_left = 0; // after the task has started
 
     auto operator<=>(const placement_cost&) const = default;
--- a/source/core/cell/task_starter.cpp
+++ b/source/core/cell/task_starter.cpp
@@ -62,6 +62,7 @@
             std::chrono::duration_cast<milliseconds>(job.on_time_until() - m_clock.now()) -
             job.job().path_length_after(task.step);
     }
+    request.values = &m_packing;
     request.tasks_on_executor = [&](const std::string& executor) {
         return static_cast<int>(
             std::count_if(job.tasks().begin(), job.tasks().end(), [&](const task_record& other) {
--- a/source/core/cell/task_starter.h
+++ b/source/core/cell/task_starter.h
@@ -8,6 +8,7 @@
 #include "core/cell/executor_manager.h"
 #include "core/cell/executor_speed.h"
 #include "core/cell/job_record.h"
+#include "core/cell/packing.h"
 #include "core/cell/stopping_runs.h"
 
 namespace savorytrail::cell {
@@ -16,9 +17,9 @@
 public:
     task_starter(const limits& by, const common::clock& clock, executor_manager& manager,
                  const stopping_runs& stopping, const duration_model& durations,
-                 const executor_speeds& speeds)
+                 const executor_speeds& speeds, const packing& values)
         : m_limits(by), m_clock(clock), m_executor_manager(manager), m_stopping_runs(stopping),
-          m_durations(durations), m_speeds(speeds) {}
+          m_durations(durations), m_speeds(speeds), m_packing(values) {}
 
     // To be called before the waiting jobs are gone through, the first ones first.
     void begin_round() { m_awaited.clear(); }
@@ -47,6 +48,7 @@
     const executor_speeds& m_speeds;
     // Executors that tasks of this round wait for, one each.
     std::vector<const std::string*> m_awaited;
+    const packing& m_packing;
 };
 
 } // namespace savorytrail::cell
--- a/source/unit_tests/cell/simulated_cell.h
+++ b/source/unit_tests/cell/simulated_cell.h
@@ -28,9 +28,10 @@
 public:
     class holder;
 
-    // `kinds`, if not empty, are the capacities of the executors in turn, instead of `capacity`.
-    simulated_cell(std::uint64_t seed, int executors, work::resources capacity, int holders,
-                   const std::vector<work::resources>& kinds = {});
+    simulated_cell(std::uint64_t seed, int executors, work::resources capacity, int holders)
+        : simulated_cell(seed, std::vector<work::resources>(executors, capacity), holders) {}
+    // One executor for each of the capacities.
+    simulated_cell(std::uint64_t seed, const std::vector<work::resources>& capacities, int holders);
     ~simulated_cell();
 
     common::time_point now() const { return m_now; }
