--- /dev/null
+++ b/source/core/cell/run_neighbours.h
@@ -0,0 +1,57 @@
+// Tracks which kinds of tasks run beside each run on its executor, and for how long.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "core/common/clock.h"
+#include "core/work/executor.h"
+
+namespace savorytrail::cell {
+
+// Identifies a kind of tasks; the same in every process.
+using kind_key = std::uint64_t;
+
+class run_neighbours {
+public:
+    void add(const std::string& executor, const work::run_key& run, kind_key kind,
+             common::time_point now);
+    // However it ended; unknown runs are ignored.
+    void remove(const std::string& executor, const work::run_key& run, common::time_point now);
+
+    struct observation {
+        kind_key kind = 0;
+        std::vector<kind_key> neighbours; // those beside it for at least half of the time
+        // Those beside it for a shorter part that can still have slowed it.
+        std::vector<kind_key> brief_neighbours;
+    };
+    // What ran beside a run that has just ended; `kind` is 0 for an unknown run.
+    observation observe(const std::string& executor, const work::run_key& run,
+                        common::time_point now) const;
+
+    // The kinds of the runs there, one for each run.
+    std::vector<kind_key> kinds_on(const std::string& executor) const;
+
+private:
+    struct neighbour {
+        kind_key kind = 0;
+        int runs = 0; // at present
+        common::time_point since;
+        common::time_point::duration total{0}; // without the time since `since`
+    };
+    struct tracked_run {
+        work::run_key key;
+        kind_key kind = 0;
+        common::time_point started;
+        std::vector<neighbour> neighbours;
+    };
+
+    static void begin(tracked_run& it, kind_key beside, common::time_point now);
+    static void end(tracked_run& it, kind_key beside, common::time_point now);
+
+    absl::flat_hash_map<std::string, std::vector<tracked_run>> m_executors; // with runs only
+};
+
+} // namespace savorytrail::cell
