Place tasks apart from kinds that slow them, where there is a choice

Cause: best fit puts tasks together whatever they do to each other.

Without a suspected pair the cost is not computed, so that placement is unchanged. The dispatcher tells the starts, ends and durations of runs. The executor's speed is a constant 1 until it is learnt.

--- a/source/core/cell/dispatcher.cpp
+++ b/source/core/cell/dispatcher.cpp
@@ -254,6 +254,7 @@
 
 void dispatcher::tick() {
     const auto now = m_clock.now();
+    note_interference(m_interference.tick(now));
     const bool is_overloaded = m_admission.is_overloaded(effective_capacity(), now);
     bool has_waiting_tasks = false;
     for (auto it = m_jobs.begin(); it != m_jobs.end();) {
@@ -318,7 +319,13 @@
     m_is_dispatching = false;
 }
 
-void dispatcher::on_run_duration(const work::run_key& run, const work::executor_info& /*executor*/,
+void dispatcher::note_interference(const std::vector<pair_change>& changes) {
+    for (const auto& it : changes) {
+        m_observer.interference_changed(it);
+    }
+}
+
+void dispatcher::on_run_duration(const work::run_key& run, const work::executor_info& executor,
                                  milliseconds took) {
     const auto job = find(run.task.job);
     if (job == m_jobs.end() || m_stopping_runs.contains(run.task)) {
@@ -329,10 +336,15 @@
         m_capacity_meter.add_run(std::chrono::duration<double>(took) / predicted);
     }
     m_durations.add(job->job().queue.name, job->caller_estimate(run.task.step), took);
+    constexpr double speed = 1; // of the executor
+    const auto expected =
+        std::chrono::duration_cast<milliseconds>(std::chrono::duration<double>(predicted) / speed);
+    note_interference(m_interference.note_success(executor.id, run, expected, took, m_clock.now()));
 }
 
 void dispatcher::on_run_ended(const work::run_key& run, const std::string& executor,
                               run_result result, work::order_status status) {
+    m_interference.note_end(executor, run, m_clock.now());
     if (m_stopping_runs.contains(run.task)) {
         note_stopped_run(run.task, result);
         return;
--- a/source/core/cell/dispatcher.h
+++ b/source/core/cell/dispatcher.h
@@ -12,6 +12,7 @@
 #include "core/cell/cell_load.h"
 #include "core/cell/duration_model.h"
 #include "core/cell/executor_manager.h"
+#include "core/cell/interference.h"
 #include "core/cell/job_record.h"
 #include "core/cell/ranking.h"
 #include "core/cell/stopping_runs.h"
@@ -27,6 +28,7 @@
     // All runs of a job that were open when the job was closed have ended, the last one this long
     // after.
     virtual void runs_stopped(common::milliseconds) {}
+    virtual void interference_changed(const pair_change&) {}
 
 protected:
     job_observer() = default;
@@ -60,6 +62,8 @@
 
     cell_load load() const;
     std::size_t open_jobs() const { return m_jobs.size(); }
+    interference& task_interference() { return m_interference; }
+    const interference& task_interference() const { return m_interference; }
 
     void on_run_ended(const work::run_key& run, const std::string& executor, run_result result,
                       work::order_status status) override;
@@ -96,6 +100,7 @@
     void on_failure(job_list::iterator job, task_record& task);
     admission_view view_for(const job_record& candidate) const;
     void note_task_sizes(const work::job& job);
+    void note_interference(const std::vector<pair_change>& changes);
     double waiting_cpu_demand() const;
     double effective_capacity() const;
 
@@ -106,7 +111,8 @@
     job_list m_jobs;
     absl::flat_hash_map<std::string, job_list::iterator> m_by_id;
     stopping_runs m_stopping_runs;
-    task_starter m_starter{m_limits, m_clock, m_executor_manager, m_stopping_runs};
+    interference m_interference;
+    task_starter m_starter{m_limits, m_clock, m_executor_manager, m_stopping_runs, m_interference};
     admission m_admission{fair_limits()};
     capacity_meter m_capacity_meter;
     duration_model m_durations;
--- a/source/core/cell/placement.cpp
+++ b/source/core/cell/placement.cpp
@@ -22,6 +22,9 @@
     cost.is_avoided = it.info.id == *request.avoid;
     cost.is_on_other_rack =
         !request.step->preferred_rack.empty() && !it.info.has_label(request.step->preferred_rack);
+    if (request.interference_on) {
+        cost.interference = request.interference_on(it.info.id);
+    }
     cost.cpu_millis_left = it.free().cpu_millis - request.step->task_resources.cpu_millis;
     return cost;
 }
--- a/source/core/cell/task_starter.cpp
+++ b/source/core/cell/task_starter.cpp
@@ -8,6 +8,14 @@
 
 using common::milliseconds;
 
+namespace {
+
+task_kind kind_of(const job_record& job, const task_record& task) {
+    return {job.job().queue.name, job.step_of(task).image};
+}
+
+} // namespace
+
 milliseconds task_starter::time_limit(const work::step& step, const task_record& task) const {
     const double factor =
         m_limits.stuck_factor * static_cast<double>(1 << std::min(task.lost_runs, 4));
@@ -28,6 +36,15 @@
                        other.executor == executor;
             }));
     };
+    std::vector<neighbour_cost> costs;
+    if (m_interference.knows_pairs()) {
+        costs = m_interference.costs_beside(kind_of(job, task).key(), m_clock.now());
+    }
+    if (!costs.empty()) {
+        request.interference_on = [&](const std::string& executor) {
+            return m_interference.cost_on(executor, costs);
+        };
+    }
     return place(request, m_executor_manager.executors(), m_clock.now());
 }
 
@@ -48,6 +65,8 @@
         task.last_run_number--;
         return false;
     }
+    m_interference.note_start(*executor, {id, task.last_run_number}, kind_of(job, task),
+                              m_clock.now());
     job.set_state(task, task_state::active);
     job.note_start();
     return true;
--- a/source/core/cell/task_starter.h
+++ b/source/core/cell/task_starter.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "core/cell/executor_manager.h"
+#include "core/cell/interference.h"
 #include "core/cell/job_record.h"
 #include "core/cell/stopping_runs.h"
 
@@ -13,8 +14,9 @@
 class task_starter {
 public:
     task_starter(const limits& by, const common::clock& clock, executor_manager& manager,
-                 const stopping_runs& stopping)
-        : m_limits(by), m_clock(clock), m_executor_manager(manager), m_stopping_runs(stopping) {}
+                 const stopping_runs& stopping, interference& neighbours)
+        : m_limits(by), m_clock(clock), m_executor_manager(manager), m_stopping_runs(stopping),
+          m_interference(neighbours) {}
 
     // Starts as many of the job's waiting tasks as there is room for now, and returns them.
     std::vector<const task_record*> start_waiting_tasks(job_record& job);
@@ -29,6 +31,7 @@
     const common::clock& m_clock;
     executor_manager& m_executor_manager;
     const stopping_runs& m_stopping_runs;
+    interference& m_interference;
 };
 
 } // namespace savorytrail::cell
