Stand-in executors: runs may slow each other down

Cause: interference between tasks cannot be played with executors whose tasks never affect each other.

Change: simulated_executor::interference gives the factor by which a payload is slowed beside another; the ends of running tasks move while they run together.

--- a/source/stand_ins/users_platform/simulated_executor.cpp
+++ b/source/stand_ins/users_platform/simulated_executor.cpp
@@ -14,7 +14,9 @@
     m_now = now;
     const auto passed =
         std::chrono::duration_cast<common::milliseconds>(now - m_clock_origin).count();
+    const auto previous = m_clock;
     m_clock = static_cast<std::int64_t>(static_cast<double>(passed) * m_clock_rate);
+    slow_down(m_clock - previous);
     std::vector<std::pair<work::task_id, work::run_end>> ended;
     for (const auto& [task, it] : m_running) {
         if (!is_stalled && it.ends_at <= std::min(m_clock, m_lease_until)) {
@@ -28,6 +30,24 @@
     }
 }
 
+// A run slowed by a factor f gets 1 / f of the work done in the time that has passed, so its end
+// moves by the rest.
+void simulated_executor::slow_down(std::int64_t passed) {
+    if (!interference || m_running.size() < 2 || passed <= 0) {
+        return;
+    }
+    for (auto& [task, it] : m_running) {
+        double factor = 1;
+        for (const auto& [other_task, other] : m_running) {
+            factor *= other_task == task ? 1 : interference(it.payload, other.payload);
+        }
+        const double delay = static_cast<double>(passed) * (1 - 1 / factor) + it.delay_ms;
+        const auto whole = static_cast<std::int64_t>(delay);
+        it.ends_at += whole;
+        it.delay_ms = delay - static_cast<double>(whole);
+    }
+}
+
 void simulated_executor::end(const work::task_id& task, work::run_end kind) {
     const auto it = m_running.find(task);
     const auto number = it->second.number;
@@ -65,8 +85,10 @@
     m_free -= task.occupied;
     const auto duration =
         static_cast<std::int64_t>(static_cast<double>(task.work.count()) * slowdown);
-    m_running[order.run.task] = {order.run.number, m_clock + duration, task.fails,
-                                 task.occupied,    order.fence,        m_now};
+    m_running[order.run.task] = {order.run.number, m_clock + duration,
+                                 task.fails,       task.occupied,
+                                 order.fence,      m_now,
+                                 order.payload,    0};
     return {order_status::accepted, m_clock};
 }
 
--- a/source/stand_ins/users_platform/simulated_executor.h
+++ b/source/stand_ins/users_platform/simulated_executor.h
@@ -3,6 +3,7 @@
 // that are reported until acknowledged.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -20,6 +21,8 @@
         work::resources occupied;
         std::int64_t fence = 0; // of the start order
         common::time_point started;
+        std::string payload;
+        double delay_ms = 0; // by neighbours, less than a millisecond and not in `ends_at` yet
     };
 
     simulated_executor(work::executor_info info, double clock_rate)
@@ -50,11 +53,15 @@
     double slowdown = 1; // factor on the duration of runs that start
     bool is_stalled = false;
     std::int64_t longest_lease_ms = 1000; // caps the leases that are asked for
+    // The factor by which runs of a payload last longer while one of the other payload runs beside
+    // them; several factors are multiplied. Empty: no run slows another.
+    std::function<double(const std::string& payload, const std::string& beside)> interference;
 
 private:
     std::int64_t clock_ms() const { return m_clock; }
     void end(const work::task_id& task, work::run_end kind);
     void renew(std::int64_t until);
+    void slow_down(std::int64_t passed);
 
     const work::executor_info m_info;
     const double m_clock_rate;
