Interference: suspect nothing below 4%

Change: the least slowdown that counts is raised from 2% to 4%. Simulated cells count every suspicion, cleared or not.

--- a/source/core/cell/interference.cpp
+++ b/source/core/cell/interference.cpp
@@ -28,9 +28,9 @@
 // Standard errors between the difference and the least slowdown that counts. Each run of a pair is
 // a test, so that the bound of a single test would be exceeded by chance within thousands of runs.
 constexpr double suspicion_errors = 4.5;
-// A slowdown that is not certainly above this one (ln, about 2%) is not worth a worse placement,
-// and may come from executors whose speed is known badly.
-constexpr double min_log_slowdown = 0.02;
+// A slowdown that is not certainly above this one (ln, about 4%) is not worth a worse placement,
+// and may come from the time that reports take: 2 ms of a task of 50.
+constexpr double min_log_slowdown = 0.04;
 // The fewest runs on each side of a comparison: with fewer the mean is far from normal.
 constexpr double min_runs = 12;
 // The recent average of a suspected pair covers as many runs with the neighbour as bring its
--- a/source/unit_tests/cell/simulated_cell.h
+++ b/source/unit_tests/cell/simulated_cell.h
@@ -49,6 +49,7 @@
     network_faults faults;
     std::set<std::pair<int, int>> partitions; // holders and executors cut off from each other
 
+    std::vector<pair_change> interference_changes;
     std::uint64_t starts = 0; // accepted start orders
     // Log of events for the analysis of a failure; recorded only if `is_tracing` is set.
     bool is_tracing = false;
@@ -100,6 +101,9 @@
                           std::string_view reason) override;
     void job_event(const std::string& job, std::string_view event,
                    const std::string& detail) override;
+    void interference_changed(const pair_change& change) override {
+        m_cell.interference_changes.push_back(change);
+    }
 
 private:
     // A report request in progress. A long poll is simulated by polling the executor.
