Emulator: payloads that slow each other down

Cause: the real programs could not be shown to notice interference.

Change: emulator::set_interference() takes pairs of ends of payloads and factors; it counts the runs that interfered.

--- a/source/stand_ins/users_platform/emulator.cpp
+++ b/source/stand_ins/users_platform/emulator.cpp
@@ -24,7 +24,8 @@
 }
 
 // The payload of a job gives the CPU and the duration of its tasks, and whether they fail:
-// "CPU_MILLIS MILLISECONDS [fail]".
+// "CPU_MILLIS MILLISECONDS [fail]", or any other word, by which set_interference() tells payloads
+// apart.
 cell::simulated_executor::simulated_task parse_payload(const std::string& payload) {
     const auto space = payload.find(' ');
     return {{std::stoll(payload.substr(0, space)), 64, 0},
@@ -104,6 +105,7 @@
         it->simulated.advance(now());
     }
     note_overlaps();
+    note_interfering_runs();
 }
 
 void emulator::note_overlaps() {
@@ -214,6 +216,46 @@
     m_executors.at(i)->simulated.slowdown = slowdown;
 }
 
+void emulator::set_interference(std::vector<interference> pairs) {
+    const std::lock_guard lock(m_mutex);
+    m_interference = std::move(pairs);
+    for (const auto& it : m_executors) {
+        it->simulated.interference = [this](const auto& payload, const auto& beside) {
+            return interference_of(payload, beside);
+        };
+    }
+}
+
+double emulator::interference_of(const std::string& payload, const std::string& beside) const {
+    double factor = 1;
+    for (const auto& it : m_interference) {
+        const bool applies = payload.ends_with(it.payload) && beside.ends_with(it.beside);
+        factor *= applies ? it.factor : 1;
+    }
+    return factor;
+}
+
+void emulator::note_interfering_runs() {
+    if (m_interference.empty()) {
+        return;
+    }
+    for (const auto& it : m_executors) {
+        const auto& running = it->simulated.running();
+        for (const auto& [task, run] : running) {
+            for (const auto& [other_task, other] : running) {
+                if (other_task != task && interference_of(run.payload, other.payload) > 1) {
+                    m_interfering_runs.insert({{task, run.number}, {other_task, other.number}});
+                }
+            }
+        }
+    }
+}
+
+std::size_t emulator::interfering_runs() {
+    const std::lock_guard lock(m_mutex);
+    return m_interfering_runs.size();
+}
+
 std::size_t emulator::running() {
     const std::lock_guard lock(m_mutex);
     std::size_t n = 0;
--- a/source/stand_ins/users_platform/emulator.h
+++ b/source/stand_ins/users_platform/emulator.h
@@ -94,6 +94,16 @@
     void set_executor_reachable(int i, bool is_reachable);
     void set_executor_slowdown(int i, double slowdown);
     void set_stop_fault(int executor, stop_fault fault);
+    // Runs whose payload ends with `payload` last `factor` times as long beside runs whose payload
+    // ends with `beside` on the same executor.
+    struct interference {
+        std::string payload;
+        std::string beside;
+        double factor = 1;
+    };
+    void set_interference(std::vector<interference> pairs);
+    // How many pairs of runs that interfere have been together on an executor, each counted once.
+    std::size_t interfering_runs();
     static constexpr common::milliseconds stop_delay{600};
 
     static constexpr std::uint16_t store_port = 8169;
@@ -121,6 +131,8 @@
     void stop_run(executor_host& host, const reactor::http_request& request, const answer& to);
     void advance();
     void note_overlaps();
+    void note_interfering_runs();
+    double interference_of(const std::string& payload, const std::string& beside) const;
     void note_overlap(const work::task_id& task, const overlapping_run& a,
                       const overlapping_run& b);
     bool is_running(const work::task_id& task, const overlapping_run& run) const;
@@ -143,6 +155,8 @@
     std::unique_ptr<reactor::http_server> m_store;
     std::set<std::string> m_started_jobs;
     std::vector<overlap> m_overlaps;
+    std::vector<interference> m_interference;
+    std::set<std::pair<work::run_key, work::run_key>> m_interfering_runs;
     std::vector<answer> m_unanswered;
     std::atomic<std::uint64_t> m_starts = 0;
     std::atomic<bool> m_is_store_down = false;
