--- a/source/integration_tests/platform_fleet.cpp
+++ b/source/integration_tests/platform_fleet.cpp
@@ -127,13 +127,25 @@
 
 int platform_fleet::submit(int entry, const std::string& payload, int tasks, int estimate_ms,
                            const std::string& id, const caller_patience& patience) const {
+    return post(entry, id, patience, payload,
+                R"({"count":)" + std::to_string(tasks) +
+                    R"(,"cpu":27000,"memMb":64,"estimateMs":)" + std::to_string(estimate_ms) + "}");
+}
+
+int platform_fleet::submit_image(int entry, const std::string& image, const std::string& payload,
+                                 int tasks, int estimate_ms) const {
+    return post(entry, new_id(), {}, payload,
+                R"({"image":")" + image + R"(","count":)" + std::to_string(tasks) +
+                    R"(,"cpu":27000,"memMb":64,"estimateMs":)" + std::to_string(estimate_ms) + "}");
+}
+
+int platform_fleet::post(int entry, const std::string& id, const caller_patience& patience,
+                         const std::string& payload, const std::string& step) const {
     httplib::Client client(host(entry), caller_port);
     client.set_connection_timeout(1, 0);
     client.set_read_timeout(patience.actual);
     client.set_tcp_nodelay(true);
-    const auto body = R"({"spec":")" + payload + R"(","bestEffort":true,"steps":[{"count":)" +
-                      std::to_string(tasks) + R"(,"cpu":27000,"memMb":64,"estimateMs":)" +
-                      std::to_string(estimate_ms) + "}]}";
+    const auto body = R"({"spec":")" + payload + R"(","bestEffort":true,"steps":[)" + step + "]}";
     const auto answer =
         client.Post("/q/" + id,
                     {{"Host", "h.example"},
--- a/source/integration_tests/platform_fleet.h
+++ b/source/integration_tests/platform_fleet.h
@@ -70,6 +70,9 @@
     // The same for a caller that waits that long. Returns as soon as the connection breaks.
     int submit(int entry, const std::string& payload, int tasks, int estimate_ms,
                const std::string& id, const caller_patience& patience) const;
+    // The same for a job whose tasks run an image.
+    int submit_image(int entry, const std::string& image, const std::string& payload, int tasks,
+                     int estimate_ms) const;
     // Makes the entry lose power: its callers' connections break, while all that it sends to other
     // entries, the ends of its connections included, is lost, and their connections to it hang.
     // Requires plan::with_links.
@@ -78,6 +81,8 @@
     void restore_power(int entry);
 
 private:
+    int post(int entry, const std::string& id, const caller_patience& patience,
+             const std::string& payload, const std::string& step) const;
     void make_links();
     int peer_port(int entry) const;
 
