--- a/source/core/cell/dispatcher.cpp
+++ b/source/core/cell/dispatcher.cpp
@@ -337,6 +337,7 @@
     // Without executors, any work that was offered a moment ago would look like overload.
     const bool is_overloaded = capacity > 0 && m_admission.is_overloaded(capacity, now);
     return_stranded_jobs(now);
+    note_interference(m_interference.tick(now));
     bool has_waiting_tasks = false;
     bool waits_for_cores = false;
     bool has_held_back_jobs = false;
@@ -557,6 +558,12 @@
     }
 }
 
+void dispatcher::note_interference(const std::vector<pair_change>& changes) {
+    for (const auto& it : changes) {
+        m_observer.interference_changed(it);
+    }
+}
+
 void dispatcher::on_run_duration(const work::run_key& run, const work::executor_info& executor,
                                  milliseconds took) {
     const auto job = find(run.task.job);
@@ -576,10 +583,12 @@
     }
     m_durations.add(job->job().queue.name, job->caller_estimate(run.task.step),
                     milliseconds(std::llround(at_speed_1.count())));
+    note_interference(m_interference.note_success(executor.id, run, took, m_clock.now()));
 }
 
 void dispatcher::on_run_ended(const work::run_key& run, const std::string& executor,
                               run_result result, work::order_status status) {
+    m_interference.note_end(executor, run, m_clock.now());
     if (m_stopping_runs.contains(run.task)) {
         note_stopped_run(run.task, result);
         return;
--- a/source/core/cell/dispatcher.h
+++ b/source/core/cell/dispatcher.h
@@ -13,6 +13,7 @@
 #include "core/cell/duration_model.h"
 #include "core/cell/executor_manager.h"
 #include "core/cell/executor_speed.h"
+#include "core/cell/interference.h"
 #include "core/cell/job_record.h"
 #include "core/cell/packing.h"
 #include "core/cell/ranking.h"
@@ -36,6 +37,7 @@
     virtual void hold_ended(int /*for_priority*/, common::milliseconds) {}
     // Jobs of this level have recently found no free capacity, or no longer.
     virtual void contention_changed(int /*priority*/, bool /*is_on*/) {}
+    virtual void interference_changed(const pair_change&) {}
 
 protected:
     job_observer() = default;
@@ -71,6 +73,8 @@
     executor_speeds& speeds() { return m_speeds; }
     const executor_speeds& speeds() const { return m_speeds; }
     std::size_t open_jobs() const { return m_jobs.size(); }
+    interference& task_interference() { return m_interference; }
+    const interference& task_interference() const { return m_interference; }
 
     void on_run_ended(const work::run_key& run, const std::string& executor, run_result result,
                       work::order_status status) override;
@@ -128,6 +132,7 @@
     void note_task_sizes(const work::job& job);
     void note_executors();
     void note_pace(const work::executor_info& executor, executor_speeds::change change);
+    void note_interference(const std::vector<pair_change>& changes);
     double waiting_cpu_demand() const;
     double effective_capacity() const;
     cell_load own_load() const; // without the backlog, and with what is held back still free
@@ -149,8 +154,9 @@
     packing m_packing;
     room_reservation m_reservation;
     std::vector<int> m_contended_levels; // as last told to the observer
+    interference m_interference;
     task_starter m_starter{m_limits,    m_clock,  m_executor_manager, m_stopping_runs,
-                           m_durations, m_speeds, m_packing};
+                           m_durations, m_speeds, m_packing,          m_interference};
     admission m_admission{fair_limits()};
     capacity_meter m_capacity_meter;
     common::time_point m_had_capacity_at;
--- a/source/core/cell/placement.cpp
+++ b/source/core/cell/placement.cpp
@@ -95,6 +95,9 @@
         cost.packing_loss =
             request.values->loss(it.free().cpu_millis, request.step->task_resources.cpu_millis);
     }
+    if (request.interference_on) {
+        cost.interference = request.interference_on(it.info.id);
+    }
     cost.cpu_millis_left = it.free().cpu_millis - request.step->task_resources.cpu_millis;
     return cost;
 }
--- a/source/core/cell/placement.h
+++ b/source/core/cell/placement.h
@@ -1,9 +1,9 @@
-// Chooses an executor for a task. Executors in the rack of the task's data come first, then the one
-// whose free capacity loses the least value for coming tasks, then best fit: the executor with the
-// least CPU left, so that large tasks still fit elsewhere. Where the speeds of executors differ,
-// those on which the task can be expected to end in time come before the others; among the former
-// the slowest is chosen, so that the fast ones stay free for tasks with little time left, and among
-// the latter the fastest.
+// Chooses an executor for a task. Executors in the rack of the task's data come first; where speeds
+// differ, then those on which the task can be expected to end in time; then those where tasks are
+// not known to slow each other down. Of the rest the slowest is chosen if the task is on time
+// there, so that the fast ones stay free for tasks with little time left, and the fastest if not.
+// Executors that are equal so far are chosen by what coming tasks can still use there, and at last
+// by best fit: the one with the least CPU left.
 #pragma once
 
 #include <compare>
@@ -30,6 +30,8 @@
     const executor_speeds* speeds = nullptr; // nullptr where they do not differ
     common::milliseconds expected{0};        // duration at speed 1
     common::milliseconds left{0};            // until the task must have ended to be on time
+    // How much the task and those there would slow each other down, in steps; may be empty.
+    std::function<std::int64_t(const std::string& executor)> interference_on;
 };
 
 // What speaks against an executor, the weightiest first: the lowest cost is chosen.
@@ -39,6 +41,7 @@
     bool is_on_other_rack = false;
     bool is_cold = false;             // slow after its start
     bool is_late = false;             // not expected to end in time there, with a margin
+    std::int64_t interference = 0;    // steps of slowdown, of the task and of those there
     int speed_steps = 0;              // slower where the task is on time, faster where it is late
     std::int64_t packing_loss = 0;    // see packing::loss()
     std::int64_t cpu_millis_left = 0; // after the task has started
--- a/source/core/cell/task_starter.cpp
+++ b/source/core/cell/task_starter.cpp
@@ -14,6 +14,12 @@
     return milliseconds(static_cast<std::int64_t>(static_cast<double>(it.count()) * factor));
 }
 
+task_kind kind_of(const job_record& job, const task_record& task) {
+    return {job.job().queue.name, job.step_of(task).image};
+}
+
+}
+
 } // namespace
 
 milliseconds task_starter::time_limit(const job_record& job, const task_record& task) const {
@@ -70,6 +76,15 @@
                        other.executor == executor;
             }));
     };
+    std::vector<neighbour_cost> costs;
+    if (m_limits.avoids_interference && m_interference.knows_pairs()) {
+        costs = m_interference.costs_beside(kind_of(job, task).key(), m_clock.now());
+    }
+    if (!costs.empty()) {
+        request.interference_on = [&](const std::string& executor) {
+            return m_interference.cost_on(executor, costs);
+        };
+    }
     const auto& executors = m_executor_manager.executors();
     const auto chosen = place(request, executors, m_clock.now());
     if (chosen.is_late) {
@@ -95,12 +110,14 @@
     const auto& step = job.step_of(task);
     task.last_run_number++;
     task.executor = *executor;
+    const auto expected = expected_duration(step, task);
     if (!m_executor_manager.start(*executor, {id, task.last_run_number}, step.task_resources,
-                                  time_limit(job, task), job.job().payload,
-                                  expected_duration(step, task))) {
+                                  time_limit(job, task), job.job().payload, expected)) {
         task.last_run_number--;
         return attempt::no_room;
     }
+    m_interference.note_start(*executor, {id, task.last_run_number}, kind_of(job, task), expected,
+                              m_clock.now());
     job.set_state(task, task_state::active);
     job.note_start();
     return attempt::started;
--- a/source/core/cell/task_starter.h
+++ b/source/core/cell/task_starter.h
@@ -7,6 +7,7 @@
 #include "core/cell/duration_model.h"
 #include "core/cell/executor_manager.h"
 #include "core/cell/executor_speed.h"
+#include "core/cell/interference.h"
 #include "core/cell/job_record.h"
 #include "core/cell/packing.h"
 #include "core/cell/stopping_runs.h"
@@ -17,9 +18,9 @@
 public:
     task_starter(const limits& by, const common::clock& clock, executor_manager& manager,
                  const stopping_runs& stopping, const duration_model& durations,
-                 const executor_speeds& speeds, const packing& values)
+                 const executor_speeds& speeds, const packing& values, interference& neighbours)
         : m_limits(by), m_clock(clock), m_executor_manager(manager), m_stopping_runs(stopping),
-          m_durations(durations), m_speeds(speeds), m_packing(values) {}
+          m_durations(durations), m_speeds(speeds), m_packing(values), m_interference(neighbours) {}
 
     // To be called before the waiting jobs are gone through, the first ones first.
     void begin_round() { m_awaited.clear(); }
@@ -49,6 +50,7 @@
     // Executors that tasks of this round wait for, one each.
     std::vector<const std::string*> m_awaited;
     const packing& m_packing;
+    interference& m_interference;
 };
 
 } // namespace savorytrail::cell
