fleet: what one entry tells of drains does not let tasks start

Cause: an entry that had just started took the first heartbeat that told of drains for enough to start tasks. Its sender may be cut off from the store and not know of a later drain.

--- a/source/core/fleet/drained_domains.cpp
+++ b/source/core/fleet/drained_domains.cpp
@@ -31,7 +31,6 @@
     }
     m_version = version;
     m_since = std::move(since);
-    m_is_known = true;
     m_is_shared = m_is_shared || !m_since.empty();
     return it;
 }
--- a/source/core/fleet/drained_domains.h
+++ b/source/core/fleet/drained_domains.h
@@ -46,9 +46,10 @@
     change merge(const drain_state& it, common::time_point now);
 
     // Whether it is known which domains are drained. An entry that has just started does not know,
-    // and must start no task; the platform may have drained any domain before.
+    // and must start no task: any domain may have been drained before. What a single entry tells is
+    // not enough, as it may be cut off from the store and the others.
     bool is_known() const { return m_is_known; }
-    // The configuration was fetched from an entry whose heartbeat tells of drains if there are any.
+    // The store was not reached, but others had the time to tell.
     void note_known() { m_is_known = true; }
 
     bool is_drained(const std::string& domain) const { return m_since.contains(domain); }
--- a/source/unit_tests/fleet_view/drained_domains_test.cpp
+++ b/source/unit_tests/fleet_view/drained_domains_test.cpp
@@ -87,10 +87,10 @@
                 {"a", "b"},
                 5}));
 
-TEST(drained_domains, are_unknown_until_something_was_learnt) {
+TEST(drained_domains, are_unknown_until_the_store_was_read) {
     drained_domains drains;
-    drains.merge({}, start);
-    EXPECT_FALSE(drains.is_known());
+    drains.merge(told(5, {"a"}, milliseconds(0)), start);
+    EXPECT_FALSE(drains.is_known()); // that entry may be cut off
     drains.read(3, {}, start);
     EXPECT_TRUE(drains.is_known());
 }
