--- a/source/core/cell/task_starter.cpp
+++ b/source/core/cell/task_starter.cpp
@@ -18,8 +18,6 @@
     return {job.job().queue.name, job.step_of(task).image};
 }
 
-}
-
 } // namespace
 
 milliseconds task_starter::time_limit(const job_record& job, const task_record& task) const {
