--- a/source/unit_tests/cell/room_reservation_test.cpp
+++ b/source/unit_tests/cell/room_reservation_test.cpp
@@ -170,6 +170,50 @@
     EXPECT_EQ(frozen.outcome->end, work::job_end::not_run);
 }
 
+struct absurd_case {
+    const char* name;
+    int priority;
+    int tasks;
+    std::int64_t task_ms;
+    std::int64_t cpu_millis;
+};
+
+class absurd_jobs : public testing::TestWithParam<absurd_case> {};
+
+// Jobs that cannot run or that claim any urgency must not keep a cell from the others' work.
+TEST_P(absurd_jobs, leave_others_their_capacity) {
+    simulated_cell cell{3, 8, {64000, 131072, 0}, 1};
+    cell.at(0).assign(cell.executor_infos());
+    cell.run_for(milliseconds(200));
+    int succeeded = 0;
+    for (int i = 0; i < 60; i++) {
+        const auto& it = GetParam();
+        cell.at(0).submit(make_prioritized("x" + std::to_string(i), it.priority, it.tasks,
+                                           it.task_ms, it.cpu_millis),
+                          [](const auto&) {});
+        cell.at(0).submit(make_prioritized("j" + std::to_string(i), 1, 2, 100),
+                          [&](const auto& outcome) {
+                              succeeded += outcome.end == work::job_end::succeeded ? 1 : 0;
+                          });
+        cell.run_for(milliseconds(40));
+    }
+    cell.run_for(milliseconds(3000));
+    EXPECT_EQ(succeeded, 60);
+    EXPECT_EQ(cell.at(0).jobs().open_jobs(), 0);
+    EXPECT_TRUE(cell.violations.empty());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    policy, absurd_jobs,
+    testing::Values(absurd_case{"larger_than_any_executor", 0, 2, 60, 65000},
+                    absurd_case{"size_beyond_bounds", 0, 2, 60, 1000000000000},
+                    absurd_case{"size_zero", 0, 2, 60, 0},
+                    absurd_case{"estimate_zero", 0, 2, 0, 8000},
+                    absurd_case{"estimate_beyond_bounds", 0, 2, 1000000000000, 32000},
+                    absurd_case{"priority_negative", lowest, 2, 60, 8000},
+                    absurd_case{"priority_beyond_bounds", 1000000000, 2, 60, 8000}),
+    [](const auto& it) { return it.param.name; });
+
 struct tie_case {
     const char* name;
     int other_ms; // by how much the job of priority 2 arrived earlier
