Gateway: ask a cell again that has room since it refused the job

Change: a cell that refused a job at least 100 ms ago, and whose load was learnt since, counts as not asked; the bounds on the number of offers stay. A refusal's line says if the room that it counts is where other jobs wait, and a job that waits itself no longer claims its own room.

--- a/source/core/cell/admission.cpp
+++ b/source/core/cell/admission.cpp
@@ -61,6 +61,9 @@
     text += ", work ahead " + ms_of(view.work_ahead) + ", waiting " + ms_of(view.work_waiting);
     text += ", " + std::to_string(room.fitting) + " of " + std::to_string(room.tasks) +
             " first tasks fit now";
+    if (room.tasks > 0 && room.fitting == room.tasks && !room.is_unclaimed) {
+        text += ", where other jobs wait";
+    }
     return text;
 }
 
--- a/source/core/cell/free_room.cpp
+++ b/source/core/cell/free_room.cpp
@@ -79,7 +79,7 @@
     }
     auto rest = all;
     for (const auto& job : jobs) {
-        if (job.has_waiting()) {
+        if (job.has_waiting() && job.job().id != candidate.job().id) {
             take_waiting(rest, job);
         }
     }
--- a/source/core/gateway/gateway.cpp
+++ b/source/core/gateway/gateway.cpp
@@ -15,6 +15,8 @@
 constexpr milliseconds max_wait_for_dispatcher{1500};
 // After so many cells without executors that take work, a job waits for the next tick.
 constexpr std::size_t max_cells_without_executors = 3;
+// A cell that refused a job is not asked again sooner: a typical task has ended there by then.
+constexpr milliseconds min_time_to_ask_again{100};
 // An answer that takes longer than this many times the objective has no value.
 constexpr int max_lateness_factor = 3;
 
@@ -44,7 +46,7 @@
     return ticket;
 }
 
-std::vector<target> gateway::targets(const std::set<std::string>& tried) const {
+std::vector<target> gateway::targets(const std::map<std::string, common::time_point>& tried) const {
     const auto now = m_clock.now();
     const auto& self = m_view.self();
     std::vector<target> list;
@@ -75,7 +77,7 @@
         return;
     }
     open.target = list[*best].name;
-    open.tried.insert(open.target);
+    open.tried[open.target] = m_clock.now();
     const auto now = m_clock.now();
     const auto left = std::chrono::duration_cast<milliseconds>(open.give_up_at - now);
     open.job.waited = std::chrono::duration_cast<milliseconds>(now - open.first_sent);
@@ -231,6 +233,8 @@
         open.job.earlier_offers++;
         open.retry_after = std::min(open.retry_after.value_or(cell::max_retry_after),
                                     std::max(outcome.retry_after, cell::min_retry_after));
+        forget_old_refusals(open);
+        open.tried[open.target] = m_clock.now();
     }
     const bool may_be_offered =
         !outcome.lacked_executors || open.tried.size() < max_cells_without_executors;
@@ -249,6 +253,18 @@
     finish(ticket, last);
 }
 
+void gateway::forget_old_refusals(open_job& it) const {
+    const auto now = m_clock.now();
+    std::erase_if(it.tried, [&](const auto& tried) {
+        const auto& [name, at] = tried;
+        if (now - at < min_time_to_ask_again) {
+            return false;
+        }
+        const auto* peer = m_view.find(name); // nullptr for this entry, whose load is always known
+        return peer == nullptr || (peer->last_sign && *peer->last_sign > at);
+    });
+}
+
 void gateway::note_not_offered_further(const open_job& it) const {
     const auto left = targets(it.tried);
     if (left.empty()) {
--- a/source/core/gateway/gateway.h
+++ b/source/core/gateway/gateway.h
@@ -68,7 +68,7 @@
         common::time_point give_up_at;
         cell::done_callback done;
         std::string target; // name of an entry; this entry's own for the local dispatcher
-        std::set<std::string> tried;
+        std::map<std::string, common::time_point> tried; // when it was offered, or refused there
         // Shortest of those that cells have refused it with.
         std::optional<common::milliseconds> retry_after;
         std::uint64_t own_ticket = 0;
@@ -82,12 +82,15 @@
         std::map<std::uint64_t, std::int64_t> by_forward;
     };
 
-    std::vector<target> targets(const std::set<std::string>& tried) const;
+    std::vector<target> targets(const std::map<std::string, common::time_point>& tried) const;
     std::vector<target> targets_left(const open_job& it) const;
     job_slack slack_of(const open_job& it) const;
     // When the least busy cell will have done the work that waits there.
     common::milliseconds retry_after() const;
     void place(std::uint64_t ticket);
+    // Cells that refused the job before, and whose load is known from a later time, may be asked
+    // again.
+    void forget_old_refusals(open_job& it) const;
     void on_refused(std::uint64_t ticket, const work::outcome& outcome);
     void note_not_offered_further(const open_job& it) const;
     // The room that was counted for a forward is free, as its job was refused.
--- a/source/unit_tests/gateway/gateway_test.cpp
+++ b/source/unit_tests/gateway/gateway_test.cpp
@@ -606,6 +606,40 @@
     }
 }
 
+struct asked_again_case {
+    const char* name;
+    int waited_ms;              // at the second cell
+    bool has_heartbeat = false; // of the first cell, with room, since
+    bool is_asked_again = false;
+};
+
+class a_cell_that_refused : public a_gateway,
+                            public testing::WithParamInterface<asked_again_case> {};
+
+// A job that waited in vain at one cell was refused although the cell that had refused it before
+// was free by then.
+TEST_P(a_cell_that_refused, is_asked_again_once_it_is_known_to_have_room) {
+    receive("near", "d", 640000);
+    receive("farther", "other", 640000);
+    submit();
+    m_client.sent[0].done(work::outcome{job_end::not_run, "full", milliseconds(1000)});
+    ASSERT_EQ(m_client.sent.size(), 2U);
+    m_clock.advance(milliseconds(GetParam().waited_ms));
+    if (GetParam().has_heartbeat) {
+        receive("near", "d", 640000);
+    }
+    m_client.sent[1].done(work::outcome{job_end::not_run, "late", milliseconds(1000)});
+    EXPECT_EQ(m_client.sent.size(), GetParam().is_asked_again ? 3U : 2U);
+    EXPECT_EQ(m_outcomes.size(), GetParam().is_asked_again ? 0U : 1U);
+}
+
+INSTANTIATE_TEST_SUITE_P(burst, a_cell_that_refused,
+                         testing::Values(asked_again_case{"load_is_new", 150, true, true},
+                                         asked_again_case{"load_is_as_old_as_the_refusal", 150},
+                                         asked_again_case{"at_once", 5, true},
+                                         asked_again_case{"answer_would_be_useless", 1100, true}),
+                         [](const auto& it) { return it.param.name; });
+
 // A job is never offered again once an offer's answer is lost: it may be running there.
 TEST_F(a_gateway, does_not_report_a_job_as_not_run_after_the_answer_to_an_offer_is_lost) {
     receive("near", "d", 640000);
