--- a/source/unit_tests/cell/refusals_test.cpp
+++ b/source/unit_tests/cell/refusals_test.cpp
@@ -49,6 +49,21 @@
     }
 }
 
+// On each executor 24 cores are left, which the waiting tasks of 40 cannot use: smaller tasks of
+// the same queue were refused for its share.
+TEST_F(a_cell_of_four, admits_what_fits_beside_the_waiting_tasks_of_a_burst) {
+    for (int i = 0; i < 60; i++) {
+        submit(make_job("large-" + std::to_string(i), 4, milliseconds(200), 40000));
+    }
+    m_cell.run_for(milliseconds(20));
+    ASSERT_GT(m_outcomes.size(), 0U); // some were refused
+    submit(make_job("small", 4, milliseconds(200), 20000));
+    submit(make_job("second", 4, milliseconds(200), 20000)); // its room is taken by then
+    m_cell.run_for(milliseconds(300));
+    EXPECT_EQ(m_outcomes["small"].end, job_end::succeeded) << m_outcomes["small"].reason;
+    EXPECT_EQ(m_outcomes["second"].end, job_end::not_run);
+}
+
 TEST(capacity_meter, forgets_a_low_utilization_in_calm_time) {
     capacity_meter meter;
     const double initial = meter.effective(1000);
