--- a/source/unit_tests/platform_adapter/drain_follower_test.cpp
+++ b/source/unit_tests/platform_adapter/drain_follower_test.cpp
@@ -59,6 +59,7 @@
 
 std::vector<store_row> many(int n) {
     std::vector<store_row> rows;
+    rows.reserve(n);
     for (int i = 0; i < n; i++) {
         rows.push_back(put("evacuate/" + std::to_string(100 + i), 3));
     }
