Cell: hold nothing back in a pass that began without contention

A shortage seen within a pass made later jobs of the same pass be judged by the free capacity of an earlier pass, or by none.

--- a/source/core/cell/dispatcher.cpp
+++ b/source/core/cell/dispatcher.cpp
@@ -436,6 +436,7 @@
             m_reservation.note_shortage(priority, now);
         }
     }
+    m_reservation.end_pass();
     m_is_dispatching = false;
 }
 
--- a/source/core/cell/room_reservation.cpp
+++ b/source/core/cell/room_reservation.cpp
@@ -88,8 +88,10 @@
 }
 
 void room_reservation::note_started(int priority, double cpu_millis) {
-    m_free -= cpu_millis;
-    add_use(priority, cpu_millis);
+    if (m_free) {
+        *m_free -= cpu_millis;
+        add_use(priority, cpu_millis);
+    }
 }
 
 bool room_reservation::is_contended(const level& it, time_point now) {
@@ -125,7 +127,7 @@
         std::chrono::duration<double, std::milli>(job.on_time_until() - now).count() - length;
     const double margin =
         std::max(static_cast<double>(min_margin.count()), length * margin_of_critical_path);
-    if (job.may_have_run() || slack <= margin) {
+    if (!m_free || job.may_have_run() || slack <= margin) {
         return std::nullopt;
     }
     const double reservable = m_capacity * max_reserved_fraction;
@@ -138,7 +140,7 @@
             continue;
         }
         reserved = std::min(reserved + uncovered_need(it, now), reservable);
-        if (m_free - cpu_millis < reserved) {
+        if (*m_free - cpu_millis < reserved) {
             return it.priority;
         }
     }
--- a/source/core/cell/room_reservation.h
+++ b/source/core/cell/room_reservation.h
@@ -25,6 +25,8 @@
     void add_use(int priority, double cpu_millis);
     // Records what has been started in this pass.
     void note_started(int priority, double cpu_millis);
+    // Ends the pass. Outside of passes nothing is held back, as what is free is not known.
+    void end_pass() { m_free.reset(); }
 
     // Whether jobs of some level may be held back now.
     bool has_contention(common::time_point now) const;
@@ -50,8 +52,8 @@
     double uncovered_need(const level& it, common::time_point now) const;
     static bool is_contended(const level& it, common::time_point now);
 
-    std::vector<level> m_levels; // sorted by priority, at most `max_levels`
-    double m_free = 0;
+    std::vector<level> m_levels;  // sorted by priority, at most `max_levels`
+    std::optional<double> m_free; // during a pass
     double m_capacity = 0;
 };
 
--- a/source/unit_tests/cell/room_reservation_test.cpp
+++ b/source/unit_tests/cell/room_reservation_test.cpp
@@ -92,6 +92,21 @@
         reservation_case{.name = "priority_negative", .urgent_priority = lowest, .waits = true}),
     [](const auto& it) { return it.param.name; });
 
+// A shortage that is seen within a pass says nothing about what was free when the pass began.
+TEST(reservation_pass, holds_nothing_back_unless_it_began_with_contention) {
+    room_reservation rooms;
+    const auto candidate = make_prioritized("c", 2, 4, 900);
+    rooms.add_job(make_prioritized("u", 0, 8, 60), start);
+    rooms.add_job(candidate, start);
+    rooms.note_shortage(0, start);
+    const job_record job(candidate, limits(), start);
+    EXPECT_FALSE(rooms.must_wait_for(job, job.waiting_cpu_millis(), start));
+    rooms.begin_pass(128000, 1800000);
+    EXPECT_TRUE(rooms.must_wait_for(job, job.waiting_cpu_millis(), start));
+    rooms.end_pass();
+    EXPECT_FALSE(rooms.must_wait_for(job, job.waiting_cpu_millis(), start));
+}
+
 // Guards against growth by priorities that callers or settings make up.
 TEST(reservation_levels, are_bounded_and_keep_the_recent_ones) {
     room_reservation rooms;
@@ -152,7 +167,7 @@
     const auto load = it.cell.at(0).jobs().load();
     EXPECT_EQ(load.backlog_ms, 0);
     EXPECT_GE(load.usable_cpu_millis, 0);
-    EXPECT_LE(load.usable_cpu_millis, load.free_cpu_millis - 14 * 32000);
+    EXPECT_LE(load.usable_cpu_millis, load.free_cpu_millis - std::int64_t{14} * 32000);
 }
 
 TEST(held_back_job, is_not_run_when_its_caller_leaves_or_the_vm_stands_still) {
