--- a/source/unit_tests/cell/interference_placement_test.cpp
+++ b/source/unit_tests/cell/interference_placement_test.cpp
@@ -95,7 +95,7 @@
         });
         const double mean_gap = 105.0 / (places * it.load);
         std::exponential_distribution<double> gap(1 / mean_gap);
-        cell.run_for(milliseconds(static_cast<int>(gap(random) + 0.5)));
+        cell.run_for(milliseconds(std::lround(gap(random))));
         if (i % 1000 == 500) {
             under.fault(cell);
         }
--- a/source/unit_tests/cell/interference_test.cpp
+++ b/source/unit_tests/cell/interference_test.cpp
@@ -375,6 +375,7 @@
     EXPECT_EQ(seen.kind, kind("own"));
     const auto keys = [&](const std::vector<std::string>& queues) {
         std::vector<kind_key> list;
+        list.reserve(queues.size());
         for (const auto& it : queues) {
             list.push_back(kind(it));
         }
