Speeds: a placement and an observation cost little more than before

A placement by speed computed a logarithm for each executor, and an observation the hash of the executor's kind. Both are kept with the executor's state, and executors on which a task would be late anyway are not looked into for waiting.

--- a/source/core/cell/executor_speed.cpp
+++ b/source/core/cell/executor_speed.cpp
@@ -43,12 +43,17 @@
 constexpr double told_after = 20;
 // Observations before an executor's slow runs are told from inexact predictions.
 constexpr double settled_after = 50;
-constexpr double observations_per_refresh = 8;
+constexpr std::size_t observations_per_refresh = 8;
+const double log_step = std::log(1.15);
 
 double log_ms(milliseconds it) {
     return std::log(static_cast<double>(std::max<std::int64_t>(it.count(), 1)));
 }
 
+executor_speeds::pace pace_at(double log_speed) {
+    return {std::exp(log_speed), static_cast<int>(std::lround(log_speed / log_step))};
+}
+
 } // namespace
 
 std::uint64_t kind_of(const work::executor_info& it) {
@@ -76,16 +81,20 @@
 }
 
 executor_speeds::executor_state& executor_speeds::state_of(const work::executor_info& it) {
-    const auto kind = known_kind(it);
+    static const std::string s_none;
+    const auto& label = it.labels.empty() ? s_none : it.labels.front();
     auto& state = m_executors[it.id];
-    if (state.kind != kind) {
-        const bool was_slow = state.is_turned_slow;
-        const bool is_member = state.is_member;
-        state = {}; // another machine under the same id
-        state.kind = kind;
-        state.is_member = is_member;
-        m_turned_slow -= was_slow ? 1 : 0;
+    if (state.is_set && state.label == label && state.capacity == it.capacity) {
+        return state;
     }
+    const bool is_member = state.is_member;
+    m_turned_slow -= state.is_turned_slow ? 1 : 0;
+    state = {}; // new, or another machine under the same id
+    state.is_set = true;
+    state.is_member = is_member;
+    state.kind = known_kind(it);
+    state.label = label;
+    state.capacity = it.capacity;
     return state;
 }
 
@@ -218,9 +227,9 @@
     const double log_speed = m_kinds[it.kind].log_speed + it.deviation - m_centre;
     // Positive when the run was faster than predicted.
     const double raw = log_ms(predicted) - log_speed - log_ms(took);
-    const auto pace = note_pace(it, job, m_level - raw);
+    const auto what = note_pace(it, job, m_level - raw);
     if (it.is_turned_slow) {
-        return {std::nullopt, pace};
+        return {std::nullopt, what};
     }
     m_observations++;
     const double bounded = std::clamp(raw, -max_first_residual, max_first_residual);
@@ -234,13 +243,12 @@
     if (m_until_refresh-- == 0) {
         refresh();
     }
-    return {speed(executor), pace};
+    return {speed(executor), what};
 }
 
 void executor_speeds::refresh() {
     // So that the cost of an observation does not depend on the number of executors.
-    m_until_refresh =
-        std::max(static_cast<std::size_t>(observations_per_refresh), m_executors.size() / 4);
+    m_until_refresh = std::max(observations_per_refresh, m_executors.size() / 4);
     double sum = 0;
     for (auto& [id, it] : m_executors) {
         // Within the bounds of what is plausible, whatever has been observed.
@@ -258,19 +266,20 @@
     const executor_state* fastest = nullptr;
     for (auto& [id, it] : m_executors) {
         it.log_speed -= shift;
-        it.speed = std::exp(it.log_speed);
+        it.usual = pace_at(it.log_speed);
+        it.slowed = pace_at(it.log_speed - std::log(m_limits.slow_factor));
         if (!it.is_member) {
             continue;
         }
-        slowest = slowest == nullptr || it.speed < slowest->speed ? &it : slowest;
-        fastest = fastest == nullptr || it.speed > fastest->speed ? &it : fastest;
+        slowest = slowest == nullptr || it.log_speed < slowest->log_speed ? &it : slowest;
+        fastest = fastest == nullptr || it.log_speed > fastest->log_speed ? &it : fastest;
     }
     refresh_differ(*slowest, *fastest);
 }
 
 void executor_speeds::refresh_differ(const executor_state& slowest, const executor_state& fastest) {
-    m_slowest = slowest.speed;
-    m_fastest = fastest.speed;
+    m_slowest = slowest.usual.speed;
+    m_fastest = fastest.usual.speed;
     const double spread = fastest.log_speed - slowest.log_speed;
     const double error = std::sqrt(variance(slowest) + variance(fastest));
     if (m_do_differ) {
@@ -286,18 +295,22 @@
         return 1;
     }
     const auto* it = find(executor);
-    return it == nullptr ? 1 : it->speed;
+    return it == nullptr ? 1 : it->usual.speed;
 }
 
-double executor_speeds::current_speed(const work::executor_info& executor) const {
+executor_speeds::pace executor_speeds::current_pace(const work::executor_info& executor) const {
     if (!m_do_differ) {
-        return 1;
+        return {};
     }
     const auto* it = find(executor);
     if (it == nullptr) {
-        return 1;
+        return {};
     }
-    return it->is_turned_slow ? it->speed / m_limits.slow_factor : it->speed;
+    return it->is_turned_slow ? it->slowed : it->usual;
+}
+
+double executor_speeds::current_speed(const work::executor_info& executor) const {
+    return current_pace(executor).speed;
 }
 
 double executor_speeds::cautious_speed(const work::executor_info& executor) const {
--- a/source/core/cell/executor_speed.h
+++ b/source/core/cell/executor_speed.h
@@ -85,6 +85,16 @@
     // The speed that a run which starts now can be expected to have: less than its own for an
     // executor that has turned slow.
     double current_speed(const work::executor_info& executor) const;
+    // The same in whole steps of 15%. Speeds that differ by less are not told apart: executors of
+    // one kind never seem quite equal, and would otherwise be filled in the order of their
+    // estimates instead of by the room they have.
+    struct pace {
+        double speed = 1;
+        int step = 0;
+
+        bool operator==(const pace&) const = default;
+    };
+    pace current_pace(const work::executor_info& executor) const;
     // The lowest speed that is likely, for the time after which a run counts as stuck; at most 1,
     // so that no error of the estimates makes the time shorter than it is for equal speeds.
     double cautious_speed(const work::executor_info& executor) const;
@@ -110,15 +120,19 @@
     };
     struct executor_state {
         std::uint64_t kind = 0;
+        std::string label; // the first one, which with the capacity makes the kind
+        work::resources capacity;
         double deviation = 0; // from the kind's mean, logarithmic
         double weight = 0;    // of the observations
         double log_speed = 0; // relative to the mean of the cell, at the last refresh
-        double speed = 1;     // likewise
+        pace usual;           // likewise
+        pace slowed;          // while it has turned slow
+        bool is_set = false;  // the kind is known
         bool is_member = false;
         common::time_point left_at; // if it is not a member
         int slow_jobs = 0;          // in a row
         int slow_runs = 0;
-        double slow_excess = 0; // mean logarithm of what they took against what was expected
+        double slow_excess = 0;        // mean logarithm of what they took against what was expected
         std::size_t last_slow_job = 0; // a hash
         bool is_turned_slow = false;
     };
--- a/source/core/cell/placement.cpp
+++ b/source/core/cell/placement.cpp
@@ -1,7 +1,6 @@
 #include "core/cell/placement.h"
 
 #include <algorithm>
-#include <cmath>
 #include <memory>
 #include <optional>
 #include <vector>
@@ -15,22 +14,16 @@
 // A task is expected to end in time if this multiple of its expected duration fits into the time
 // left: tasks of one job differ, by 15% where it was observed, and predictions are inexact.
 constexpr double time_margin = 1.5;
-// Speeds that differ by less are not told apart: executors of one kind never seem quite equal, and
-// would otherwise be filled in the order of their estimates instead of by the room they have.
-const double log_speed_step = std::log(1.15);
-
 // With the margin.
-real_milliseconds time_needed(const placement_request& request,
-                              const work::executor_info& executor) {
-    return request.expected * time_margin / request.speeds->current_speed(executor);
+real_milliseconds time_needed(const placement_request& request, double speed) {
+    return request.expected * time_margin / speed;
 }
 
 void add_cost_of_speed(const placement_request& request, const work::executor_info& executor,
                        placement_cost& cost) {
-    cost.is_late = time_needed(request, executor) > request.left;
-    const double speed = request.speeds->current_speed(executor);
-    const int steps = static_cast<int>(std::lround(std::log(speed) / log_speed_step));
-    cost.speed_steps = cost.is_late ? -steps : steps;
+    const auto pace = request.speeds->current_pace(executor);
+    cost.is_late = time_needed(request, pace.speed) > request.left;
+    cost.speed_steps = cost.is_late ? -pace.step : pace.step;
 }
 
 bool suits(const placement_request& request, const executor_record& it) {
@@ -111,12 +104,13 @@
     const std::string* best = nullptr;
     auto shortest = milliseconds::max();
     for (const auto& [id, record] : executors) {
-        if (!suits(request, *record) || !record->accepts_work(now) || id == *request.avoid ||
+        const auto took = time_needed(request, request.speeds->current_speed(record->info));
+        if (took > request.left || id == *request.avoid || !suits(request, *record) ||
+            !record->accepts_work(now) ||
             std::find(awaited.begin(), awaited.end(), &id) != awaited.end()) {
             continue;
         }
         const auto wait = time_to_room(request.step->task_resources, *record, now);
-        const auto took = time_needed(request, record->info);
         if (wait && *wait < shortest && *wait * time_margin + took <= request.left) {
             best = &id;
             shortest = *wait;
--- a/source/unit_tests/cell/executor_speed_test.cpp
+++ b/source/unit_tests/cell/executor_speed_test.cpp
@@ -26,6 +26,7 @@
 public:
     explicit speed_learning(const std::vector<double>& speeds, std::uint64_t seed = 1)
         : m_random(seed), m_speeds(speeds) {
+        infos.reserve(executors);
         for (int i = 0; i < executors; i++) {
             work::executor_info info;
             info.id = "e" + std::to_string(i);
@@ -39,6 +40,7 @@
 
     void set_members(int count) {
         std::vector<const work::executor_info*> list;
+        list.reserve(count);
         for (int i = 0; i < count; i++) {
             list.push_back(&infos[i]);
         }
