Room for tasks: skip steps that need no less than one without room

Cause: with 200 waiting jobs, counting the room for a job that fits visited each executor for each of them: 104 us at 24 executors, 2.8 ms at 1,000.

Change: the count remembers a task for which no room was left.

--- a/source/core/cell/free_room.cpp
+++ b/source/core/cell/free_room.cpp
@@ -45,6 +45,10 @@
 }
 
 int free_room::take(const work::step& step, const std::string& upstream, int tasks) {
+    if (m_full_for && m_full_for->upstream == upstream &&
+        step.task_resources.covers(m_full_for->task)) {
+        return 0;
+    }
     int taken = 0;
     for (auto& it : m_executors) {
         if (taken >= tasks) {
@@ -62,6 +66,9 @@
             taken++;
         }
     }
+    if (taken < tasks && step.required_label.empty() && step.max_per_executor == 0) {
+        m_full_for = full_for{step.task_resources, upstream};
+    }
     return taken;
 }
 
--- a/source/core/cell/free_room.h
+++ b/source/core/cell/free_room.h
@@ -4,6 +4,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -30,7 +31,14 @@
         int max_starts = 0;
     };
 
+    // A task for which there was no room left; there is none for a greater one either.
+    struct full_for {
+        work::resources task;
+        std::string upstream;
+    };
+
     std::vector<free_executor> m_executors;
+    std::optional<full_for> m_full_for; // the latest
 };
 
 // Room for the tasks of a job that depend on no others.
--- a/source/unit_tests/cell/admission_test.cpp
+++ b/source/unit_tests/cell/admission_test.cpp
@@ -127,6 +127,12 @@
         room_case{"waiting_job_can_use_the_room", {{64, 32}}, {{1, 32}}, {1}, {1, 1, false}},
         room_case{"room_for_the_waiting_job_too", {{64, 0}}, {{1, 32}}, {1}, {1, 1, true}},
         room_case{"waiting_job_is_too_large", {{64, 32}}, {{1, 48}}, {1}, {1, 1, true}},
+        // The first waiting job finds no room; the smaller one behind it does.
+        room_case{"smaller_waiting_job_behind_a_too_large_one",
+                  {{64, 32}},
+                  {{1, 48}, {1, 32}},
+                  {1},
+                  {1, 1, false}},
         room_case{"quarantined", {{64, 0, condition::quarantined}}, {}, {1}, {1, 0, false}},
         room_case{
             "probation_takes_one", {{64, 0, condition::on_probation}}, {}, {2}, {2, 1, false}},
