--- a/source/benchmarks/packing_benchmark.cpp
+++ b/source/benchmarks/packing_benchmark.cpp
@@ -126,7 +126,7 @@
             request.avoid = &m_avoid;
             request.values = m_by_value ? &m_values : nullptr;
             const auto begin = std::chrono::steady_clock::now();
-            const auto* chosen = cell::place(request, m_executors, m_now);
+            const auto* chosen = cell::place(request, m_executors, m_now).executor;
             m_result.choosing += std::chrono::steady_clock::now() - begin;
             m_result.choices++;
             if (chosen != nullptr) {
--- a/source/unit_tests/cell/packing_test.cpp
+++ b/source/unit_tests/cell/packing_test.cpp
@@ -131,7 +131,7 @@
     request.upstream = &upstream;
     request.avoid = &avoid;
     request.values = &values;
-    const auto* chosen = place(request, executors, now);
+    const auto* chosen = place(request, executors, now).executor;
     EXPECT_EQ(chosen == nullptr ? "" : *chosen, it.expected);
 }
 
--- a/source/unit_tests/cell/uneven_speeds_test.cpp
+++ b/source/unit_tests/cell/uneven_speeds_test.cpp
@@ -33,7 +33,7 @@
 class uneven_cell {
 public:
     uneven_cell(std::vector<double> speeds, double load, std::uint64_t seed)
-        : m_speeds(std::move(speeds)), m_load(load), m_cell(seed, executors, {}, 1, capacities),
+        : m_speeds(std::move(speeds)), m_load(load), m_cell(seed, capacities_in_turn(), 1),
           m_random(seed + 1) {
         for (int i = 0; i < executors; i++) {
             m_cell.executor(i).slowdown = 1 / m_speeds[i % m_speeds.size()];
@@ -73,6 +73,14 @@
     simulated_cell& cell() { return m_cell; }
 
     static constexpr int executors = 24;
+    static std::vector<work::resources> capacities_in_turn() {
+        std::vector<work::resources> list;
+        for (int i = 0; i < executors; i++) {
+            list.push_back(capacities[i % capacities.size()]);
+        }
+        return list;
+    }
+
     inline static const std::vector<work::resources> capacities = {
         {64000, 131072, 0}, {64000, 131072, 0}, {96000, 131072, 0}};
     static constexpr double mean_cpu = (64000 + 64000 + 96000) / 3.0;
