--- a/source/unit_tests/cell/contention_test.cpp
+++ b/source/unit_tests/cell/contention_test.cpp
@@ -78,6 +78,7 @@
 
     static std::vector<work::resources> capacities() {
         std::vector<work::resources> list;
+        list.reserve(executors);
         for (int i = 0; i < executors; i++) {
             list.push_back({i % 3 == 2 ? 96000 : 64000, 262144, 0});
         }
