Interference: assume a standard deviation of at least 0.15

Cause: with exact durations the errors are those of the drifting prediction, which are not independent from run to run: in one run of platform_interference_test a pair that does not interfere was suspected at 7%.

Change: a lower bound of the deviation.

--- a/source/core/cell/interference.cpp
+++ b/source/core/cell/interference.cpp
@@ -31,6 +31,9 @@
 // A slowdown that is not certainly above this one (ln, about 4%) is not worth a worse placement,
 // and may come from the time that reports take: 2 ms of a task of 50.
 constexpr double min_log_slowdown = 0.04;
+// The least standard deviation that is assumed. Where durations hardly vary the drift of their
+// predictions does, and its errors are not independent from run to run.
+constexpr double min_deviation = 0.15;
 // The fewest runs on each side of a comparison: with fewer the mean is far from normal.
 constexpr double min_runs = 12;
 // The recent average of a suspected pair covers as many runs with the neighbour as bring its
@@ -79,7 +82,7 @@
         return 0;
     }
     const double mean = all.mean();
-    return std::max(sum_of_squares / all.weight - mean * mean, 0.0);
+    return std::max(sum_of_squares / all.weight - mean * mean, min_deviation * min_deviation);
 }
 
 bool interference::comparison::is_known() const {
