Drains: a malformed row beyond the limit no longer hides the others

With 64 domains drained, a malformed row whose earlier drain was kept made a 65th one. The whole set was rejected, and the entry went on with the one before.

--- a/source/unit_tests/platform_adapter/drain_follower_test.cpp
+++ b/source/unit_tests/platform_adapter/drain_follower_test.cpp
@@ -66,6 +66,25 @@
     return rows;
 }
 
+// 64 domains in force, then 64 others and a malformed row for one of those in force.
+std::vector<change> many_and_malformed() {
+    std::vector<change> changes = {{many(64), 5, snapshot}, {{}, 6, snapshot}};
+    auto& rows = changes.back().rows;
+    for (int i = 0; i < 64; i++) {
+        rows.push_back(put("evacuate/" + std::to_string(101 + i), 6));
+    }
+    rows.push_back(put("evacuate/100", 6, "["));
+    return changes;
+}
+
+names last_64() {
+    names list;
+    for (int i = 0; i < 64; i++) {
+        list.push_back(std::to_string(101 + i));
+    }
+    return list;
+}
+
 names first_64() {
     names list;
     for (int i = 0; i < 64; i++) {
@@ -120,7 +139,9 @@
                  {{{put("evacuate/" + std::string(65, 'x'), 3)}, 5, snapshot}},
                  {},
                  1},
-        delivery{"too many rows undo all drains", {{many(66), 5, snapshot}}, first_64(), 2}));
+        delivery{"too many rows undo all drains", {{many(66), 5, snapshot}}, first_64(), 2},
+        delivery{"a malformed row beyond the limit hides all others", many_and_malformed(),
+                 last_64(), 1}));
 
 // Of two rows that are written while a snapshot is read, one may be missed. If the other one's
 // version counted for the snapshot, other entries would never adopt the complete set of the feed.
