Speeds: a task that waits for a faster executor is no sign of contention

Its wait counted as a lack of free capacity, so that less urgent jobs were held back where nothing was short, and the free capacity beside it lowered the learnt utilization.

--- a/source/core/cell/dispatcher.cpp
+++ b/source/core/cell/dispatcher.cpp
@@ -437,7 +437,8 @@
 bool dispatcher::lacks_only_free_capacity(const job_record& job) const {
     const auto& executors = m_executor_manager.executors();
     return std::any_of(job.tasks().begin(), job.tasks().end(), [&](const task_record& task) {
-        if (task.state != task_state::waiting || m_stopping_runs.contains(job.id_of(task))) {
+        if (task.state != task_state::waiting || task.awaits_faster_executor ||
+            m_stopping_runs.contains(job.id_of(task))) {
             return false;
         }
         const auto& step = job.step_of(task);
@@ -458,7 +459,8 @@
     const auto& executors = m_executor_manager.executors();
     return std::any_of(job.tasks().begin(), job.tasks().end(), [&](const task_record& task) {
         const auto& step = job.step_of(task);
-        return task.state == task_state::waiting && step.max_per_executor == 0 &&
+        return task.state == task_state::waiting && !task.awaits_faster_executor &&
+               step.max_per_executor == 0 &&
                std::all_of(executors.begin(), executors.end(), [&](const auto& it) {
                    return is_eligible(step, job.job().queue.upstream, it.second->info);
                });
--- a/source/core/cell/task_starter.cpp
+++ b/source/core/cell/task_starter.cpp
@@ -146,6 +146,7 @@
     std::vector<const task_record*> started;
     std::optional<int> full_step; // tasks of a step have equal requirements
     for (auto& task : job.tasks()) {
+        task.awaits_faster_executor = false;
         if (task.state != task_state::waiting || task.step == full_step) {
             continue;
         }
@@ -157,6 +158,7 @@
             full_step = task.step;
             break;
         case attempt::held:
+            task.awaits_faster_executor = true;
             break;
         }
     }
--- a/source/unit_tests/cell/simulated_cell.h
+++ b/source/unit_tests/cell/simulated_cell.h
@@ -54,7 +54,8 @@
     std::set<std::pair<int, int>> partitions; // holders and executors cut off from each other
 
     std::vector<pair_change> interference_changes;
-    std::uint64_t starts = 0; // accepted start orders
+    std::vector<int> contended_priorities; // each time that contention began
+    std::uint64_t starts = 0;              // accepted start orders
     // Log of events for the analysis of a failure; recorded only if `is_tracing` is set.
     bool is_tracing = false;
     std::vector<std::string> trace;
@@ -105,6 +106,11 @@
                           std::string_view reason) override;
     void job_event(const std::string& job, std::string_view event,
                    const std::string& detail) override;
+    void contention_changed(int priority, bool is_on) override {
+        if (is_on) {
+            m_cell.contended_priorities.push_back(priority);
+        }
+    }
     void interference_changed(const pair_change& change) override {
         m_cell.interference_changes.push_back(change);
     }
--- a/source/unit_tests/cell/uneven_speeds_test.cpp
+++ b/source/unit_tests/cell/uneven_speeds_test.cpp
@@ -154,5 +154,32 @@
                     uneven_case{"even", {1}, 0.25, 0.97, 0.97, 12}),
     [](const auto& it) { return it.param.name; });
 
+// A task that waited for a faster executor beside free ones passed for one without free capacity,
+// so that less urgent jobs were held back where nothing was short.
+TEST(waiting_for_a_faster_executor, is_no_contention) {
+    simulated_cell cell(1, 2, {64000, 131072, 0}, 1);
+    auto list = cell.executor_infos();
+    list[0].labels = {"slow"};
+    list[1].labels = {"fast"};
+    cell.executor(0).slowdown = 1 / 0.7;
+    cell.executor(1).slowdown = 1 / 1.7;
+    cell.at(0).assign(list);
+    cell.run_for(milliseconds(100));
+    cell.at(0).jobs().speeds().receive(
+        {{kind_of(list[0]), std::log(0.7), 1000}, {kind_of(list[1]), std::log(1.7), 1000}});
+    ASSERT_TRUE(cell.at(0).jobs().speeds().do_differ());
+    std::vector<work::job_end> ends;
+    const auto note_end = [&](const work::outcome& it) { ends.push_back(it.end); };
+    cell.at(0).submit(make_job("occupies_the_fast_one", 2, milliseconds(100)), note_end);
+    cell.run_for(milliseconds(10));
+    ASSERT_EQ(cell.executor(1).running().size(), 2U);
+    cell.at(0).submit(make_job("waits", 1, milliseconds(300)), note_end);
+    cell.run_for(milliseconds(20));
+    ASSERT_EQ(cell.executor(0).running().size(), 0U);
+    cell.run_for(milliseconds(500));
+    EXPECT_EQ(ends, (std::vector<work::job_end>(2, work::job_end::succeeded)));
+    EXPECT_TRUE(cell.contended_priorities.empty());
+}
+
 } // namespace
 } // namespace savorytrail::cell
