Drains: return jobs at once that only drained executors could run

Where a cell held executors of other domains too, such a job was admitted and waited until it was late: whether executors are large enough was asked of those in drained domains too.

--- a/source/core/cell/free_room.cpp
+++ b/source/core/cell/free_room.cpp
@@ -100,7 +100,7 @@
     return std::all_of(job.steps.begin(), job.steps.end(), [&](const work::step& step) {
         return std::any_of(executors.begin(), executors.end(), [&](const auto& entry) {
             const auto& it = *entry.second;
-            return !it.is_retiring && !it.info.is_draining && it.state != claim_state::lost &&
+            return it.is_kept() && !it.info.is_draining && !it.is_drained &&
                    is_eligible(step, job.queue.upstream, it.info) &&
                    it.info.capacity.covers(step.task_resources);
         });
--- a/source/core/cell/free_room.h
+++ b/source/core/cell/free_room.h
@@ -57,7 +57,7 @@
                  const work::executor_info& it);
 
 // Whether each task of the job fits into an executor that the cell has or is claiming, once it is
-// idle and healthy.
+// idle and healthy. A job that has not begun gets none in a drained failure domain.
 bool has_fitting_executors(const work::job& job, const executor_map& executors);
 
 } // namespace savorytrail::cell
--- a/source/unit_tests/cell/drained_cell_test.cpp
+++ b/source/unit_tests/cell/drained_cell_test.cpp
@@ -134,6 +134,33 @@
     EXPECT_EQ(running_on(2) + running_on(3), 0);
 }
 
+// A job that only executors of the drained domain could run waited until it was late, as the other
+// executors kept the cell in service.
+TEST_F(draining_cell, refuses_at_once_what_only_drained_executors_could_run) {
+    auto list = m_cell.executor_infos();
+    for (int i = 0; i < executors; i++) {
+        list[i].failure_domain = i < 2 ? "d" : "other";
+        list[i].labels = {i < 2 ? "large" : "small"};
+    }
+    m_cell.at(0).assign(list);
+    m_cell.run_for(milliseconds(100));
+    auto job = make_job("a", 4, milliseconds(800));
+    job.steps[0].required_label = "large";
+    submit(job);
+    job.id = "b";
+    submit(job);
+    m_cell.run_for(milliseconds(50));
+    drain();
+    m_cell.run_for(milliseconds(45));
+    ASSERT_TRUE(m_outcomes.contains("b"));
+    EXPECT_EQ(m_outcomes.at("b").end, job_end::not_run);
+    EXPECT_FALSE(m_outcomes.contains("a")); // its runs end by themselves
+    job.id = "c";
+    submit(job);
+    ASSERT_TRUE(m_outcomes.contains("c"));
+    EXPECT_EQ(m_outcomes.at("c").end, job_end::not_run);
+}
+
 // An executor that is listed anew, as after a change of its row, was taken for one in service.
 TEST_F(draining_cell, keeps_executors_drained_that_are_assigned_again) {
     drain();
