Cell: only the latest waiter of a job is told that it has not run

Two entries that waited for the same job, one of them with an earlier attempt, could each offer it to another cell, where it would have run twice at once. Jobs of drained cells are returned in numbers, which made that more likely.

--- a/source/core/cell/dispatcher.cpp
+++ b/source/core/cell/dispatcher.cpp
@@ -19,6 +19,11 @@
 constexpr const char* no_executor_left = "no executor takes work any more";
 constexpr const char* unrenewed = "its entry does not confirm that the caller still waits";
 
+// For those who sent a job earlier.
+work::outcome sent_again() {
+    return {work::job_end::given_up, "its caller has sent it again", {}};
+}
+
 } // namespace
 
 dispatcher::dispatcher(limits by, const common::clock& clock, executor_manager& manager,
@@ -237,8 +242,11 @@
     const job_record closed = std::move(*job);
     m_jobs.erase(job);
     stop_runs(closed, runs_end_by);
+    // Only one may offer the job to other cells, or it could run in two of them at once.
+    const auto latest = closed.waiters.empty() ? 0 : closed.waiters.back().ticket;
     for (const auto& it : closed.waiters) {
-        it.done(outcome);
+        const bool is_replaced = outcome.end == work::job_end::not_run && it.ticket != latest;
+        it.done(is_replaced ? sent_again() : outcome);
     }
 }
 
@@ -294,7 +302,7 @@
         return is_earlier;
     });
     for (const auto& it : removed) {
-        it.done({work::job_end::given_up, "its caller has sent it again", {}});
+        it.done(sent_again());
     }
 }
 
--- a/source/unit_tests/cell/drained_cell_test.cpp
+++ b/source/unit_tests/cell/drained_cell_test.cpp
@@ -161,6 +161,22 @@
     EXPECT_EQ(m_outcomes.at("c").end, job_end::not_run);
 }
 
+// The entries of two attempts of one job were both told that it had not run. Each of them offered
+// it to another cell, so that it could run in both at once.
+TEST_F(draining_cell, leaves_a_job_to_others_by_one_entry_only) {
+    submit(make_job("a", slots, milliseconds(800)));
+    const auto job = make_job("b", 1, milliseconds(800));
+    std::vector<job_end> ends;
+    const auto note_end = [&](const work::outcome& it) { ends.push_back(it.end); };
+    m_cell.at(0).submit_leased(job, m_cell.now() + milliseconds(500), note_end);
+    // Sent again by another entry, whose lease is not known yet.
+    m_cell.at(0).submit_leased(job, m_cell.now(), note_end);
+    m_cell.run_for(milliseconds(20));
+    drain();
+    m_cell.run_for(milliseconds(45));
+    EXPECT_EQ(ends, (std::vector<job_end>{job_end::given_up, job_end::not_run}));
+}
+
 // An executor that is listed anew, as after a change of its row, was taken for one in service.
 TEST_F(draining_cell, keeps_executors_drained_that_are_assigned_again) {
     drain();
