Drains: give up at once what only drained executors could end

Where a cell held executors of other domains too, a begun job whose remaining tasks only fit executors in the drained domain waited until its caller's patience ended.

--- a/source/core/cell/dispatcher.cpp
+++ b/source/core/cell/dispatcher.cpp
@@ -340,7 +340,7 @@
 void dispatcher::tick() {
     const auto now = m_clock.now();
     note_executors();
-    const bool is_drained = m_executor_manager.are_all_drained();
+    const bool has_drained = m_executor_manager.has_drained();
     const double capacity = effective_capacity();
     // Without executors, any work that was offered a moment ago would look like overload.
     const bool is_overloaded = capacity > 0 && m_admission.is_overloaded(capacity, now);
@@ -351,7 +351,7 @@
     bool has_held_back_jobs = false;
     for (auto it = m_jobs.begin(); it != m_jobs.end();) {
         const auto job = it++;
-        if (remove_unrenewed_waiters(job, now) || (is_drained && leave_drained(job))) {
+        if (remove_unrenewed_waiters(job, now) || (has_drained && leave_drained(job))) {
             continue;
         }
         // What is held back leaves capacity free on purpose, which says nothing about utilization.
--- a/source/core/cell/dispatcher.h
+++ b/source/core/cell/dispatcher.h
@@ -111,8 +111,8 @@
     void close(job_list::iterator job, const work::outcome& outcome);
     // By when the runs of a job that is closed now must have ended.
     common::time_point end_of_runs(const job_record& job) const;
-    // Closes a job whose waiting tasks can't start here, as all executors are in drained domains.
-    // Returns whether it was closed.
+    // Closes a job whose waiting tasks can't start here, as all executors that could run them are
+    // in drained domains. Returns whether it was closed.
     bool leave_drained(job_list::iterator job);
     void give_up(job_list::iterator job, refusal_cause cause, const std::string& reason);
     work::outcome given_up_outcome(const job_record& job, refusal_cause cause,
--- a/source/core/cell/executor_manager.cpp
+++ b/source/core/cell/executor_manager.cpp
@@ -82,13 +82,9 @@
     m_listener->on_resources_freed();
 }
 
-bool executor_manager::are_all_drained() const {
-    const auto is_drained = [](const auto& it) { return it.second->is_drained; };
-    const auto is_unused = [](const auto& it) {
-        return it.second->is_drained || !it.second->is_kept();
-    };
-    return std::any_of(m_executors.begin(), m_executors.end(), is_drained) &&
-           std::all_of(m_executors.begin(), m_executors.end(), is_unused);
+bool executor_manager::has_drained() const {
+    return std::any_of(m_executors.begin(), m_executors.end(),
+                       [](const auto& it) { return it.second->is_drained; });
 }
 
 std::size_t executor_manager::drained_runs() const {
--- a/source/core/cell/executor_manager.h
+++ b/source/core/cell/executor_manager.h
@@ -82,8 +82,8 @@
     void set_drains(const fleet::drained_domains& drains) { m_drains = &drains; }
     // To be called after each change of the drained domains.
     void on_drains_changed();
-    // Whether all executors that it keeps are in drained domains.
-    bool are_all_drained() const;
+    // Whether any executor is in a drained domain.
+    bool has_drained() const;
     // Runs on executors of drained domains.
     std::size_t drained_runs() const;
 
--- a/source/core/cell/task_starter.cpp
+++ b/source/core/cell/task_starter.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "core/cell/free_room.h"
 #include "core/cell/placement.h"
 
 namespace savorytrail::cell {
@@ -134,12 +135,26 @@
 
 bool task_starter::may_start_later(const job_record& job) const {
     const auto& executors = m_executor_manager.executors();
-    return std::any_of(executors.begin(), executors.end(), [&](const auto& it) {
-        const auto& record = *it.second;
-        const bool is_open = !record.is_drained || (record.is_in_drain_grace(m_clock.now()) &&
-                                                    has_begun_in(job, record.info.failure_domain));
-        return is_open && record.is_kept();
-    });
+    const auto is_open = [&](const executor_record& it) {
+        return it.is_kept() && (!it.is_drained || (it.is_in_drain_grace(m_clock.now()) &&
+                                                   has_begun_in(job, it.info.failure_domain)));
+    };
+    const auto may_run = [&](const work::step& step, const executor_record& it) {
+        return is_eligible(step, job.job().queue.upstream, it.info) &&
+               it.info.capacity.covers(step.task_resources) && is_open(it);
+    };
+    std::optional<int> checked_step; // tasks of a step have equal requirements
+    for (const auto& task : job.tasks()) {
+        if (task.state != task_state::waiting || task.step == checked_step) {
+            continue;
+        }
+        checked_step = task.step;
+        if (std::any_of(executors.begin(), executors.end(),
+                        [&](const auto& it) { return may_run(job.step_of(task), *it.second); })) {
+            return true;
+        }
+    }
+    return false;
 }
 
 std::vector<const task_record*> task_starter::start_waiting_tasks(job_record& job) {
--- a/source/core/cell/task_starter.h
+++ b/source/core/cell/task_starter.h
@@ -26,7 +26,7 @@
     void begin_round() { m_awaited.clear(); }
     // Starts as many of the job's waiting tasks as there is room for now, and returns them.
     std::vector<const task_record*> start_waiting_tasks(job_record& job);
-    // Whether the failure domain of any executor lets the job start tasks.
+    // Whether any waiting task of the job fits an executor whose failure domain lets it start.
     bool may_start_later(const job_record& job) const;
 
 private:
--- a/source/unit_tests/cell/drained_cell_test.cpp
+++ b/source/unit_tests/cell/drained_cell_test.cpp
@@ -161,6 +161,30 @@
     EXPECT_EQ(m_outcomes.at("c").end, job_end::not_run);
 }
 
+// A begun job whose remaining tasks fit only drained executors waited for its caller's patience,
+// and its wait passed for a lack of free capacity.
+TEST_F(draining_cell, gives_up_at_once_what_only_drained_executors_could_end) {
+    auto list = m_cell.executor_infos();
+    for (int i = 0; i < executors; i++) {
+        list[i].failure_domain = i < 2 ? "d" : "other";
+        list[i].labels = {i < 2 ? "large" : "small"};
+    }
+    m_cell.at(0).assign(list);
+    m_cell.run_for(milliseconds(100));
+    auto job = make_job("a", 2, milliseconds(400));
+    job.steps[0].required_label = "large";
+    job.steps.push_back(job.steps[0]);
+    job.steps[1].depends_on = {0};
+    submit(job);
+    m_cell.run_for(milliseconds(50));
+    drain(milliseconds(1500));
+    m_cell.run_for(milliseconds(300));
+    EXPECT_FALSE(m_outcomes.contains("a"));
+    m_cell.run_for(milliseconds(150));
+    ASSERT_TRUE(m_outcomes.contains("a"));
+    EXPECT_EQ(m_outcomes.at("a").end, job_end::given_up);
+}
+
 // The entries of two attempts of one job were both told that it had not run. Each of them offered
 // it to another cell, so that it could run in both at once.
 TEST_F(draining_cell, leaves_a_job_to_others_by_one_entry_only) {
