--- a/source/core/cell/dispatcher.cpp
+++ b/source/core/cell/dispatcher.cpp
@@ -452,7 +452,7 @@
         const auto& step = job.step_of(task);
         return std::any_of(executors.begin(), executors.end(), [&](const auto& it) {
             const auto& info = it.second->info;
-            return it.second->state == claim_state::held &&
+            return it.second->state == claim_state::held && !it.second->is_drained &&
                    info.upstream == job.job().queue.upstream &&
                    info.capacity.covers(step.task_resources) &&
                    (step.required_label.empty() || info.has_label(step.required_label));
--- a/source/unit_tests/cell/drained_cell_test.cpp
+++ b/source/unit_tests/cell/drained_cell_test.cpp
@@ -183,6 +183,8 @@
     m_cell.run_for(milliseconds(150));
     ASSERT_TRUE(m_outcomes.contains("a"));
     EXPECT_EQ(m_outcomes.at("a").end, job_end::given_up);
+    // Executors that may not be used passed for ones that lacked free capacity only.
+    EXPECT_TRUE(m_cell.contended_priorities.empty());
 }
 
 // The entries of two attempts of one job were both told that it had not run. Each of them offered
