--- a/source/core/cell/dispatcher.cpp
+++ b/source/core/cell/dispatcher.cpp
@@ -19,6 +19,11 @@
 constexpr const char* no_executor_left = "no executor takes work any more";
 constexpr const char* unrenewed = "its entry does not confirm that the caller still waits";
 
+// For those who sent a job earlier.
+work::outcome sent_again() {
+    return {work::job_end::given_up, "its caller has sent it again", {}};
+}
+
 } // namespace
 
 dispatcher::dispatcher(limits by, const common::clock& clock, executor_manager& manager,
@@ -237,8 +242,11 @@
     const job_record closed = std::move(*job);
     m_jobs.erase(job);
     stop_runs(closed, runs_end_by);
+    // Only one may offer the job to other cells, or it could run in two of them at once.
+    const auto latest = closed.waiters.empty() ? 0 : closed.waiters.back().ticket;
     for (const auto& it : closed.waiters) {
-        it.done(outcome);
+        const bool is_replaced = outcome.end == work::job_end::not_run && it.ticket != latest;
+        it.done(is_replaced ? sent_again() : outcome);
     }
 }
 
@@ -294,7 +302,7 @@
         return is_earlier;
     });
     for (const auto& it : removed) {
-        it.done({work::job_end::given_up, "its caller has sent it again", {}});
+        it.done(sent_again());
     }
 }
 
@@ -332,7 +340,7 @@
 void dispatcher::tick() {
     const auto now = m_clock.now();
     note_executors();
-    const bool is_drained = m_executor_manager.are_all_drained();
+    const bool has_drained = m_executor_manager.has_drained();
     const double capacity = effective_capacity();
     // Without executors, any work that was offered a moment ago would look like overload.
     const bool is_overloaded = capacity > 0 && m_admission.is_overloaded(capacity, now);
@@ -343,7 +351,7 @@
     bool has_held_back_jobs = false;
     for (auto it = m_jobs.begin(); it != m_jobs.end();) {
         const auto job = it++;
-        if (remove_unrenewed_waiters(job, now) || (is_drained && leave_drained(job))) {
+        if (remove_unrenewed_waiters(job, now) || (has_drained && leave_drained(job))) {
             continue;
         }
         // What is held back leaves capacity free on purpose, which says nothing about utilization.
@@ -437,13 +445,14 @@
 bool dispatcher::lacks_only_free_capacity(const job_record& job) const {
     const auto& executors = m_executor_manager.executors();
     return std::any_of(job.tasks().begin(), job.tasks().end(), [&](const task_record& task) {
-        if (task.state != task_state::waiting || m_stopping_runs.contains(job.id_of(task))) {
+        if (task.state != task_state::waiting || task.awaits_faster_executor ||
+            m_stopping_runs.contains(job.id_of(task))) {
             return false;
         }
         const auto& step = job.step_of(task);
         return std::any_of(executors.begin(), executors.end(), [&](const auto& it) {
             const auto& info = it.second->info;
-            return it.second->state == claim_state::held &&
+            return it.second->state == claim_state::held && !it.second->is_drained &&
                    info.upstream == job.job().queue.upstream &&
                    info.capacity.covers(step.task_resources) &&
                    (step.required_label.empty() || info.has_label(step.required_label));
@@ -458,7 +467,8 @@
     const auto& executors = m_executor_manager.executors();
     return std::any_of(job.tasks().begin(), job.tasks().end(), [&](const task_record& task) {
         const auto& step = job.step_of(task);
-        return task.state == task_state::waiting && step.max_per_executor == 0 &&
+        return task.state == task_state::waiting && !task.awaits_faster_executor &&
+               step.max_per_executor == 0 &&
                std::all_of(executors.begin(), executors.end(), [&](const auto& it) {
                    return is_eligible(step, job.job().queue.upstream, it.second->info);
                });
--- a/source/unit_tests/cell/drained_cell_test.cpp
+++ b/source/unit_tests/cell/drained_cell_test.cpp
@@ -134,6 +134,75 @@
     EXPECT_EQ(running_on(2) + running_on(3), 0);
 }
 
+// A job that only executors of the drained domain could run waited until it was late, as the other
+// executors kept the cell in service.
+TEST_F(draining_cell, refuses_at_once_what_only_drained_executors_could_run) {
+    auto list = m_cell.executor_infos();
+    for (int i = 0; i < executors; i++) {
+        list[i].failure_domain = i < 2 ? "d" : "other";
+        list[i].labels = {i < 2 ? "large" : "small"};
+    }
+    m_cell.at(0).assign(list);
+    m_cell.run_for(milliseconds(100));
+    auto job = make_job("a", 4, milliseconds(800));
+    job.steps[0].required_label = "large";
+    submit(job);
+    job.id = "b";
+    submit(job);
+    m_cell.run_for(milliseconds(50));
+    drain();
+    m_cell.run_for(milliseconds(45));
+    ASSERT_TRUE(m_outcomes.contains("b"));
+    EXPECT_EQ(m_outcomes.at("b").end, job_end::not_run);
+    EXPECT_FALSE(m_outcomes.contains("a")); // its runs end by themselves
+    job.id = "c";
+    submit(job);
+    ASSERT_TRUE(m_outcomes.contains("c"));
+    EXPECT_EQ(m_outcomes.at("c").end, job_end::not_run);
+}
+
+// A begun job whose remaining tasks fit only drained executors waited for its caller's patience,
+// and its wait passed for a lack of free capacity.
+TEST_F(draining_cell, gives_up_at_once_what_only_drained_executors_could_end) {
+    auto list = m_cell.executor_infos();
+    for (int i = 0; i < executors; i++) {
+        list[i].failure_domain = i < 2 ? "d" : "other";
+        list[i].labels = {i < 2 ? "large" : "small"};
+    }
+    m_cell.at(0).assign(list);
+    m_cell.run_for(milliseconds(100));
+    auto job = make_job("a", 2, milliseconds(400));
+    job.steps[0].required_label = "large";
+    job.steps.push_back(job.steps[0]);
+    job.steps[1].depends_on = {0};
+    submit(job);
+    m_cell.run_for(milliseconds(50));
+    drain(milliseconds(1500));
+    m_cell.run_for(milliseconds(300));
+    EXPECT_FALSE(m_outcomes.contains("a"));
+    m_cell.run_for(milliseconds(150));
+    ASSERT_TRUE(m_outcomes.contains("a"));
+    EXPECT_EQ(m_outcomes.at("a").end, job_end::given_up);
+    // Executors that may not be used passed for ones that lacked free capacity only.
+    EXPECT_TRUE(m_cell.contended_priorities.empty());
+}
+
+// The entries of two attempts of one job were both told that it had not run. Each of them offered
+// it to another cell, so that it could run in both at once.
+TEST_F(draining_cell, leaves_a_job_to_others_by_one_entry_only) {
+    submit(make_job("a", slots, milliseconds(800)));
+    const auto job = make_job("b", 1, milliseconds(800));
+    std::vector<job_end> ends;
+    const auto note_end = [&](const work::outcome& it) { ends.push_back(it.end); };
+    m_cell.at(0).submit_leased(job, m_cell.now() + milliseconds(500), note_end);
+    // Sent again by another entry, whose lease is not known yet.
+    m_cell.at(0).submit_leased(job, m_cell.now(), note_end);
+    m_cell.run_for(milliseconds(20));
+    drain();
+    m_cell.run_for(milliseconds(45));
+    EXPECT_EQ(ends, (std::vector<job_end>{job_end::given_up, job_end::not_run}));
+}
+
 // An executor that is listed anew, as after a change of its row, was taken for one in service.
 TEST_F(draining_cell, keeps_executors_drained_that_are_assigned_again) {
     drain();
