--- a/source/core/cell/dispatcher.cpp
+++ b/source/core/cell/dispatcher.cpp
@@ -397,7 +397,7 @@
 }
 
 void dispatcher::begin_reservation_pass(time_point now) {
-    if (!m_reservation.has_contention(now)) {
+    if (!m_limits.reserves_capacity || !m_reservation.has_contention(now)) {
         return;
     }
     const auto current = own_load();
@@ -508,7 +508,9 @@
     }
     m_is_dispatching = true;
     const auto now = m_clock.now();
-    m_packing.refresh(m_executor_manager.executors(), now);
+    if (m_limits.packs_by_value) {
+        m_packing.refresh(m_executor_manager.executors(), now);
+    }
     begin_reservation_pass(now);
     std::vector<std::pair<rank, job_record*>> order;
     for (auto& it : m_jobs) {
@@ -531,7 +533,7 @@
             m_reservation.note_started(priority, job->active_cpu_millis() - used_before);
             end_hold(*job);
         }
-        if (job->has_waiting() && lacks_only_free_capacity(*job)) {
+        if (m_limits.reserves_capacity && job->has_waiting() && lacks_only_free_capacity(*job)) {
             m_reservation.note_shortage(priority, now);
         }
     }
