--- a/source/core/cell/dispatcher.h
+++ b/source/core/cell/dispatcher.h
@@ -23,6 +23,25 @@
 
 namespace savorytrail::cell {
 
+// What would become of a job if it were submitted now.
+struct placement_explanation {
+    urgency group = urgency::on_time;
+    double rank_order = 0;         // of jobs of one urgency the lowest goes first
+    common::milliseconds slack{0}; // until its latest start to be on time
+    // Until when the answer is on time, late, and wanted by the caller.
+    common::milliseconds on_time_for{0};
+    common::milliseconds late_for{0};
+    common::milliseconds wanted_for{0};
+    std::size_t jobs_ahead = 0; // that wait and go first
+    admission_view view;
+    job_room room;
+    std::optional<refusal> refused;   // the rest is then as if it were admitted
+    std::optional<int> held_back_for; // a priority level
+    // This process did not run just before, and starts nothing before it has caught up.
+    bool are_starts_paused = false;
+    std::vector<planned_task> tasks; // of the steps that depend on no others
+};
+
 class job_observer {
 public:
     virtual ~job_observer() = default;
@@ -60,6 +79,9 @@
     // nothing starts before it is renewed.
     std::uint64_t submit_leased(const work::job& job, common::time_point held_until,
                                 done_callback done);
+    // What submit() would do with the job, by the same code, without changing anything. Takes
+    // copies of the executors' state and of the jobs that go first, so it is for operators only.
+    placement_explanation explain(const work::job& job) const;
     // Extends the lease of a ticket of submit_leased() for this job; never shortens it.
     void renew(const std::string& job, std::uint64_t ticket, common::time_point held_until);
     // Removes the ticket's waiter. A job without waiters is stopped.
@@ -98,7 +120,8 @@
     // ones have ended, even if nothing has shown so, and must not keep the job running.
     void remove_earlier_waiters(job_record& job, std::uint64_t ticket);
     void note_starts(const job_record& job, const std::vector<const task_record*>& started);
-    void begin_reservation_pass(common::time_point now);
+    // `free`: the cell's load without the jobs.
+    void begin_reservation_pass(room_reservation& reservation, const cell_load& free) const;
     // Whether the job leaves free capacity to more urgent ones; records it.
     bool is_held_back(job_record& job, common::time_point now);
     void end_hold(job_record& job);
@@ -129,7 +152,7 @@
     admission_view view_for(const job_record& candidate) const;
     job_room room_of(const job_record& job) const;
     common::milliseconds retry_after() const;
-    void note_task_sizes(const work::job& job);
+    static void note_task_sizes(const work::job& job, double& typical_cpu_millis, packing& values);
     void note_executors();
     void note_pace(const work::executor_info& executor, executor_speeds::change change);
     void note_interference(const std::vector<pair_change>& changes);
--- a/source/core/cell/executor_manager.cpp
+++ b/source/core/cell/executor_manager.cpp
@@ -209,12 +209,16 @@
     request_report(it, it.runs.empty() ? m_limits.idle_report_wait : m_limits.report_wait);
 }
 
+bool executor_manager::can_start_runs() const {
+    return !was_suspended() && !m_stalls.is_catching_up();
+}
+
 bool executor_manager::start(const std::string& executor, const work::run_key& run,
                              work::resources occupied, milliseconds time_limit,
                              const std::string& payload, milliseconds expected) {
     auto* it = find(executor);
-    if (it == nullptr || was_suspended() || m_stalls.is_catching_up() ||
-        !it->accepts_work(m_clock.now()) || !it->free().covers(occupied)) {
+    if (it == nullptr || !can_start_runs() || !it->accepts_work(m_clock.now()) ||
+        !it->free().covers(occupied)) {
         return false;
     }
     run_record record;
--- a/source/core/cell/executor_manager.h
+++ b/source/core/cell/executor_manager.h
@@ -93,6 +93,8 @@
                 const std::set<std::string>& adopted = {});
     // The executors whose claim has succeeded; another entry must not claim them yet.
     std::vector<std::string> held() const;
+    // False just after this process did not run: messages that wait are processed first.
+    bool can_start_runs() const;
     // Changes whenever an executor is added, removed or changes its claim state.
     std::uint64_t claims_version() const { return m_claims_version; }
     // How long what this process learns now may have waited.
--- a/source/core/cell/executor_record.h
+++ b/source/core/cell/executor_record.h
@@ -50,6 +50,20 @@
     common::milliseconds wait{0};
 };
 
+// Why an executor takes no new run, whatever the task.
+enum class work_obstacle : std::uint8_t {
+    none,
+    not_claimed,
+    retiring,     // released by this entry, or its platform removes it
+    unresponsive, // reports are missing, or none has arrived yet
+    rejected_start,
+    foreign_runs, // runs of other holders
+    quarantined,
+    on_probation, // takes one run at a time, and has one
+    overdue_run,
+    lease_ends, // a run there has to end by the expiry of the lease
+};
+
 struct executor_record {
     executor_record(work::executor_info its_info, const limits& by, std::int64_t its_fence)
         : info(std::move(its_info)), fence(its_fence), health(by),
@@ -115,11 +129,34 @@
             return it.second.ends_by && *it.second.ends_by < time;
         });
     }
+    work_obstacle obstacle_to_work(common::time_point now) const {
+        if (state != claim_state::held) {
+            return work_obstacle::not_claimed;
+        }
+        if (is_retiring || info.is_draining) {
+            return work_obstacle::retiring;
+        }
+        if (is_unresponsive() || !clock.is_known()) {
+            return work_obstacle::unresponsive;
+        }
+        if (now < resources_exhausted_until) {
+            return work_obstacle::rejected_start;
+        }
+        if (!foreign_runs.empty()) {
+            return work_obstacle::foreign_runs;
+        }
+        if (!health.admits(runs.size(), now)) {
+            return health.is_quarantined(now) ? work_obstacle::quarantined
+                                              : work_obstacle::on_probation;
+        }
+        if (has_overdue_run(now)) {
+            return work_obstacle::overdue_run;
+        }
+        return has_run_ending_by(now + min_lease_of_start) ? work_obstacle::lease_ends
+                                                           : work_obstacle::none;
+    }
     bool accepts_work(common::time_point now) const {
-        return state == claim_state::held && !is_retiring && !info.is_draining &&
-               !is_unresponsive() && clock.is_known() && now >= resources_exhausted_until &&
-               foreign_runs.empty() && health.admits(runs.size(), now) && !has_overdue_run(now) &&
-               !has_run_ending_by(now + min_lease_of_start);
+        return obstacle_to_work(now) == work_obstacle::none;
     }
 };
 
--- a/source/core/cell/interference.cpp
+++ b/source/core/cell/interference.cpp
@@ -409,12 +409,19 @@
 }
 
 std::int64_t interference::cost_on(const std::string& executor,
-                                   const std::vector<neighbour_cost>& costs) const {
+                                   const std::vector<neighbour_cost>& costs,
+                                   const std::vector<kind_key>& planned) const {
     double sum = 0;
-    for (const auto kind : m_running.kinds_on(executor)) {
+    const auto add = [&](kind_key kind) {
         for (const auto& it : costs) {
             sum += it.neighbour == kind ? it.log_slowdown : 0;
         }
+    };
+    for (const auto kind : m_running.kinds_on(executor)) {
+        add(kind);
+    }
+    for (const auto kind : planned) {
+        add(kind);
     }
     return static_cast<std::int64_t>(std::llround(sum / cost_step));
 }
--- a/source/core/cell/interference.h
+++ b/source/core/cell/interference.h
@@ -77,9 +77,10 @@
     bool knows_pairs() const { return !m_suspected.empty() || m_priors.size() > 0; }
     // The kinds beside which a task of this kind is better not placed; empty when none is known.
     std::vector<neighbour_cost> costs_beside(kind_key kind, common::time_point now) const;
-    // The cost of the executor in whole steps of `cost_step`.
-    std::int64_t cost_on(const std::string& executor,
-                         const std::vector<neighbour_cost>& costs) const;
+    // The cost of the executor in whole steps of `cost_step`, with tasks of the kinds `planned`
+    // assumed to run there besides.
+    std::int64_t cost_on(const std::string& executor, const std::vector<neighbour_cost>& costs,
+                         const std::vector<kind_key>& planned = {}) const;
 
     // The strongest suspected pairs, by own observations only.
     std::vector<interfering_pair> to_share() const;
--- a/source/core/cell/placement.cpp
+++ b/source/core/cell/placement.cpp
@@ -26,23 +26,32 @@
     cost.speed_steps = cost.is_late ? -pace.step : pace.step;
 }
 
-bool suits(const placement_request& request, const executor_record& it, common::time_point now) {
+// Why the task may not run there, whatever is free; empty if nothing speaks against it.
+std::string_view unsuitability(const placement_request& request, const executor_record& it,
+                               common::time_point now) {
     const auto& step = *request.step;
     if (it.info.upstream != *request.upstream) {
-        return false;
+        return "other_upstream";
     }
     if (it.is_drained &&
         !(it.is_in_drain_grace(now) && request.has_begun_in(it.info.failure_domain))) {
-        return false;
+        return "drained";
     }
     if (it.is_cold(now) && !it.runs.empty()) {
-        return false; // a cold executor runs one task at a time
+        return "cold"; // a cold executor runs one task at a time
     }
     if (!step.required_label.empty() && !it.info.has_label(step.required_label)) {
-        return false;
+        return "label";
+    }
+    if (step.max_per_executor != 0 &&
+        request.tasks_on_executor(it.info.id) >= step.max_per_executor) {
+        return "max_per_executor";
     }
-    return step.max_per_executor == 0 ||
-           request.tasks_on_executor(it.info.id) < step.max_per_executor;
+    return {};
+}
+
+bool suits(const placement_request& request, const executor_record& it, common::time_point now) {
+    return unsuitability(request, it, now).empty();
 }
 
 bool can_run(const placement_request& request, const executor_record& it, common::time_point now) {
@@ -95,8 +104,60 @@
     return cost;
 }
 
+std::string_view to_string(work_obstacle it) {
+    switch (it) {
+    case work_obstacle::none:
+        return "";
+    case work_obstacle::not_claimed:
+        return "not_claimed";
+    case work_obstacle::retiring:
+        return "retiring";
+    case work_obstacle::unresponsive:
+        return "unresponsive";
+    case work_obstacle::rejected_start:
+        return "rejected_start";
+    case work_obstacle::foreign_runs:
+        return "foreign_runs";
+    case work_obstacle::quarantined:
+        return "quarantined";
+    case work_obstacle::on_probation:
+        return "on_probation";
+    case work_obstacle::overdue_run:
+        return "overdue_run";
+    case work_obstacle::lease_ends:
+        return "lease_ends";
+    }
+    return "unknown";
+}
+
 } // namespace
 
+std::vector<std::string_view> obstacles_to(const placement_request& request,
+                                           const executor_record& it, common::time_point now) {
+    std::vector<std::string_view> list{to_string(it.obstacle_to_work(now)),
+                                       unsuitability(request, it, now)};
+    if (!it.free().covers(request.step->task_resources)) {
+        list.emplace_back(it.info.capacity.covers(request.step->task_resources) ? "no_room"
+                                                                                : "too_small");
+    }
+    std::erase(list, std::string_view());
+    return list;
+}
+
+std::vector<placement_option> placement_options(const placement_request& request,
+                                                const executor_map& executors,
+                                                common::time_point now) {
+    std::vector<placement_option> list;
+    for (const auto& [id, record] : executors) {
+        if (can_run(request, *record, now) && record->accepts_work(now)) {
+            list.push_back({id, cost_on(request, *record, now)});
+        }
+    }
+    std::stable_sort(list.begin(), list.end(),
+                     [](const auto& a, const auto& b) { return a.cost < b.cost; });
+    return list;
+}
+
 placement place(const placement_request& request, const executor_map& executors,
                 common::time_point now) {
     placement best;
--- a/source/core/cell/placement.h
+++ b/source/core/cell/placement.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "core/cell/executor_record.h"
 #include "core/cell/executor_speed.h"
@@ -56,6 +57,22 @@
     bool operator==(const placement&) const = default;
 };
 
+// Why an executor cannot take a task, for reports.
+std::vector<std::string_view> obstacles_to(const placement_request& request,
+                                           const executor_record& it, common::time_point now);
+
+// An executor that can take a task now.
+struct placement_option {
+    std::string executor;
+    placement_cost cost;
+};
+
+// All executors that place() chooses from, the one that it chooses first. For reports: slower than
+// place().
+std::vector<placement_option> placement_options(const placement_request& request,
+                                                const executor_map& executors,
+                                                common::time_point now);
+
 placement place(const placement_request& request, const executor_map& executors,
                 common::time_point now);
 
--- a/source/core/cell/task_starter.cpp
+++ b/source/core/cell/task_starter.cpp
@@ -10,6 +10,9 @@
 
 namespace {
 
+// The chosen executor and the next best ones, in reports.
+constexpr std::size_t max_options = 4;
+
 milliseconds scaled(milliseconds it, double factor) {
     return milliseconds(static_cast<std::int64_t>(static_cast<double>(it.count()) * factor));
 }
@@ -52,13 +55,15 @@
     return scaled(step.estimate, 1 / m_speeds.current_speed(executor));
 }
 
-std::pair<task_starter::attempt, const std::string*>
-task_starter::choose_executor(const job_record& job, const task_record& task) {
+placement_request task_starter::request_for(const job_record& job, const task_record& task,
+                                            const start_plan* plan) const {
     placement_request request;
     request.step = &job.step_of(task);
     request.upstream = &job.job().queue.upstream;
     request.avoid = &task.avoid;
-    request.has_begun_in = [&](const std::string& domain) { return has_begun_in(job, domain); };
+    request.has_begun_in = [this, &job](const std::string& domain) {
+        return has_begun_in(job, domain);
+    };
     if (m_speeds.do_differ()) {
         request.speeds = &m_speeds;
         request.expected = request.step->estimate;
@@ -66,8 +71,8 @@
             std::chrono::duration_cast<milliseconds>(job.on_time_until() - m_clock.now()) -
             job.job().path_length_after(task.step);
     }
-    request.values = &m_packing;
-    request.tasks_on_executor = [&](const std::string& executor) {
+    request.values = plan != nullptr ? &plan->values : &m_packing;
+    request.tasks_on_executor = [&job, &task](const std::string& executor) {
         return static_cast<int>(
             std::count_if(job.tasks().begin(), job.tasks().end(), [&](const task_record& other) {
                 return other.step == task.step && other.state == task_state::active &&
@@ -79,17 +84,28 @@
         costs = m_interference.costs_beside(kind_of(job, task).key(), m_clock.now());
     }
     if (!costs.empty()) {
-        request.interference_on = [&](const std::string& executor) {
+        request.interference_on = [this, plan,
+                                   costs = std::move(costs)](const std::string& executor) {
+            if (plan != nullptr) {
+                if (const auto it = plan->kinds.find(executor); it != plan->kinds.end()) {
+                    return m_interference.cost_on(executor, costs, it->second);
+                }
+            }
             return m_interference.cost_on(executor, costs);
         };
     }
-    const auto& executors = m_executor_manager.executors();
+    return request;
+}
+
+std::pair<task_starter::attempt, const std::string*>
+task_starter::choose_executor(const placement_request& request, const executor_map& executors,
+                              std::vector<const std::string*>& awaited) const {
     const auto chosen = place(request, executors, m_clock.now());
     if (chosen.is_late) {
         // A slow executor takes the longer, the longer the task is, a fast one is soon free again.
-        const auto* awaited = worth_waiting_for(request, executors, m_awaited, m_clock.now());
-        if (awaited != nullptr) {
-            m_awaited.push_back(awaited);
+        const auto* faster = worth_waiting_for(request, executors, awaited, m_clock.now());
+        if (faster != nullptr) {
+            awaited.push_back(faster);
             return {attempt::held, nullptr};
         }
     }
@@ -101,7 +117,8 @@
     if (m_stopping_runs.contains(id)) {
         return attempt::no_room;
     }
-    const auto [result, executor] = choose_executor(job, task);
+    const auto [result, executor] =
+        choose_executor(request_for(job, task, nullptr), m_executor_manager.executors(), m_awaited);
     if (executor == nullptr) {
         return result;
     }
@@ -142,25 +159,77 @@
     });
 }
 
-std::vector<const task_record*> task_starter::start_waiting_tasks(job_record& job) {
-    std::vector<const task_record*> started;
+template <typename Start>
+void task_starter::for_each_waiting(job_record& job, const Start& start) {
     std::optional<int> full_step; // tasks of a step have equal requirements
     for (auto& task : job.tasks()) {
-        if (task.state != task_state::waiting || task.step == full_step) {
-            continue;
-        }
-        switch (start(job, task)) {
-        case attempt::started:
-            started.push_back(&task);
-            break;
-        case attempt::no_room:
+        if (task.state == task_state::waiting && task.step != full_step &&
+            start(task) == attempt::no_room) {
             full_step = task.step;
-            break;
-        case attempt::held:
-            break;
         }
     }
+}
+
+std::vector<const task_record*> task_starter::start_waiting_tasks(job_record& job) {
+    std::vector<const task_record*> started;
+    for_each_waiting(job, [&](task_record& task) {
+        const auto result = start(job, task);
+        if (result == attempt::started) {
+            started.push_back(&task);
+        }
+        return result;
+    });
     return started;
 }
 
+std::vector<planned_task> task_starter::plan_waiting_tasks(job_record& job, start_plan& plan,
+                                                           bool with_options) const {
+    std::vector<planned_task> list;
+    const auto now = m_clock.now();
+    for_each_waiting(job, [&](task_record& task) {
+        const auto id = job.id_of(task);
+        if (m_stopping_runs.contains(id)) {
+            return attempt::no_room;
+        }
+        const auto request = request_for(job, task, &plan);
+        planned_task planned;
+        planned.step = task.step;
+        planned.index = task.index;
+        if (with_options) {
+            planned.options = placement_options(request, plan.executors, now);
+            planned.executors_that_can = planned.options.size();
+            planned.options.resize(std::min(planned.options.size(), max_options));
+            const bool is_first =
+                std::none_of(list.begin(), list.end(),
+                             [&](const planned_task& it) { return it.step == task.step; });
+            for (const auto& [name, record] : plan.executors) {
+                if (auto why = obstacles_to(request, *record, now); is_first && !why.empty()) {
+                    planned.left_out.emplace(name, std::move(why));
+                }
+            }
+        }
+        const auto [result, executor] = choose_executor(request, plan.executors, plan.awaited);
+        if (result == attempt::held) {
+            planned.awaited = *plan.awaited.back();
+        }
+        if (executor != nullptr) {
+            planned.executor = *executor;
+            task.executor = *executor;
+            auto& record = *plan.executors.at(*executor);
+            run_record run;
+            run.occupied = job.step_of(task).task_resources;
+            run.started_at = now;
+            run.expected = expected_duration(job.step_of(task), task);
+            record.used += run.occupied;
+            record.runs.emplace(work::run_key{id, task.last_run_number + 1}, std::move(run));
+            plan.kinds[*executor].push_back(kind_of(job, task).key());
+            job.set_state(task, task_state::active);
+            job.note_start();
+        }
+        list.push_back(std::move(planned));
+        return result;
+    });
+    return list;
+}
+
 } // namespace savorytrail::cell
--- a/source/core/cell/task_starter.h
+++ b/source/core/cell/task_starter.h
@@ -2,6 +2,10 @@
 // the time after which the run counts as stuck.
 #pragma once
 
+#include <map>
+#include <string>
+#include <string_view>
+#include <utility>
 #include <vector>
 
 #include "core/cell/duration_model.h"
@@ -10,10 +14,32 @@
 #include "core/cell/interference.h"
 #include "core/cell/job_record.h"
 #include "core/cell/packing.h"
+#include "core/cell/placement.h"
 #include "core/cell/stopping_runs.h"
 
 namespace savorytrail::cell {
 
+// A waiting task, and where it would be started.
+struct planned_task {
+    int step = 0;
+    int index = 0;
+    std::string executor; // empty if none can take it now
+    std::string awaited;  // it would rather wait for this faster one
+    // That can take it, the best ones first; the first one is chosen unless it waits.
+    std::vector<placement_option> options;
+    std::size_t executors_that_can = 0;
+    // Executors that cannot, and why; for the first task of a step only.
+    std::map<std::string, std::vector<std::string_view>> left_out;
+};
+
+// A copy of executors, on which starts are assumed without any order being sent.
+struct start_plan {
+    executor_map executors;
+    packing values;
+    std::map<std::string, std::vector<kind_key>> kinds; // of the assumed runs, by executor
+    std::vector<const std::string*> awaited;
+};
+
 class task_starter {
 public:
     task_starter(const limits& by, const common::clock& clock, executor_manager& manager,
@@ -26,6 +52,10 @@
     void begin_round() { m_awaited.clear(); }
     // Starts as many of the job's waiting tasks as there is room for now, and returns them.
     std::vector<const task_record*> start_waiting_tasks(job_record& job);
+    // The same on a plan: changes only the plan and the job, which is to be a copy. Lists options
+    // only for jobs `with_options`.
+    std::vector<planned_task> plan_waiting_tasks(job_record& job, start_plan& plan,
+                                                 bool with_options) const;
     // Whether the failure domain of any executor lets the job start tasks.
     bool may_start_later(const job_record& job) const;
 
@@ -34,9 +64,17 @@
     enum class attempt { started, no_room, held };
 
     attempt start(job_record& job, task_record& task);
-    // An executor for the task; `held` if the task should rather wait for a faster one.
-    std::pair<attempt, const std::string*> choose_executor(const job_record& job,
-                                                           const task_record& task);
+    // Calls start(task) for the job's waiting tasks while there is room.
+    template <typename Start>
+    static void for_each_waiting(job_record& job, const Start& start);
+    // An executor for the task; `held` if the task should rather wait for a faster one, which is
+    // then added to `awaited`.
+    std::pair<attempt, const std::string*>
+    choose_executor(const placement_request& request, const executor_map& executors,
+                    std::vector<const std::string*>& awaited) const;
+    // `plan`: nullptr for the cell as it is. The request refers to the job and the task.
+    placement_request request_for(const job_record& job, const task_record& task,
+                                  const start_plan* plan) const;
     // On the executor of the run.
     common::milliseconds expected_duration(const work::step& step, const task_record& task) const;
     common::milliseconds time_limit(const job_record& job, const task_record& task) const;
--- a/source/core/gateway/gateway.cpp
+++ b/source/core/gateway/gateway.cpp
@@ -68,6 +68,27 @@
     return list;
 }
 
+gateway_explanation gateway::explain(work::job job) const {
+    const auto waited = m_stalls.longest_wait();
+    job.waited += waited;
+    job.patience -= waited;
+    gateway_explanation result;
+    const auto list = targets({});
+    const auto rated = rate_targets(job, list);
+    for (std::size_t i = 0; i < list.size(); i++) {
+        std::optional<milliseconds> age;
+        const auto* peer = m_view.find(list[i].name);
+        if (list[i].name != m_view.self().name && peer != nullptr && peer->last_sign) {
+            age = std::chrono::duration_cast<milliseconds>(m_clock.now() - *peer->last_sign);
+        }
+        result.candidates.push_back({list[i], age, rated[i]});
+    }
+    result.are_all_drained = are_all_drained();
+    result.is_out_of_time = job.patience <= return_time;
+    result.own = m_own.explain(job);
+    return result;
+}
+
 bool gateway::is_drained(const fleet::peer& it) const {
     // It may not have learnt of the drain yet, or follow none in an earlier version. What it offers
     // besides are executors that it has adopted from other domains.
--- a/source/core/gateway/gateway.h
+++ b/source/core/gateway/gateway.h
@@ -37,6 +37,20 @@
     forwarding_client& operator=(const forwarding_client&) = default;
 };
 
+// Where the gateway would send a job now.
+struct gateway_explanation {
+    struct candidate {
+        target cell;
+        std::optional<common::milliseconds> age; // of the load; nullopt for the own cell
+        rated_target rating;
+    };
+
+    std::vector<candidate> candidates;
+    bool are_all_drained = false;
+    bool is_out_of_time = false;     // the caller's patience ends
+    cell::placement_explanation own; // what the own cell would do with the job
+};
+
 class gateway {
 public:
     gateway(const common::clock& clock, const common::stall_detector& stalls, fleet::view& view,
@@ -53,6 +67,8 @@
     // `done` is called once, possibly before this returns, unless the ticket is abandoned.
     std::uint64_t submit(work::job job, cell::done_callback done);
     void abandon(std::uint64_t ticket);
+    // What submit() would do with the job, without changing anything.
+    gateway_explanation explain(work::job job) const;
 
     // To be called about every 50 ms: keeps the links to the dispatchers of open jobs, and retries
     // jobs that found no dispatcher.
--- a/source/core/gateway/target_choice.cpp
+++ b/source/core/gateway/target_choice.cpp
@@ -1,6 +1,7 @@
 #include "core/gateway/target_choice.h"
 
 #include <algorithm>
+#include <limits>
 #include <numeric>
 
 namespace savorytrail::gateway {
@@ -84,25 +85,37 @@
     return offers < max_offers ? others : std::vector<target>{};
 }
 
+std::vector<rated_target> rate_targets(const work::job& job, const std::vector<target>& targets) {
+    std::vector<rated_target> rated;
+    rated.reserve(targets.size());
+    double lowest = std::numeric_limits<double>::max();
+    for (const auto& it : targets) {
+        const double cost =
+            expected_wait_ms(job, it) + (it.is_in_own_domain ? 0 : other_domain_cost_ms);
+        rated.push_back({cost, 0});
+        lowest = std::min(lowest, cost);
+    }
+    for (std::size_t i = 0; i < targets.size(); i++) {
+        if (rated[i].cost_ms <= lowest + equal_wait_ms) {
+            rated[i].weight =
+                static_cast<double>(std::max<std::int64_t>(free_cpu_millis(targets[i]), 1));
+        }
+    }
+    return rated;
+}
+
 std::optional<std::size_t> choose_target(const work::job& job, const std::vector<target>& targets,
                                          common::random_source& random) {
     if (targets.empty()) {
         return std::nullopt;
     }
-    std::vector<double> costs;
-    costs.reserve(targets.size());
-    for (const auto& it : targets) {
-        costs.push_back(expected_wait_ms(job, it) +
-                        (it.is_in_own_domain ? 0 : other_domain_cost_ms));
-    }
-    const double lowest = *std::min_element(costs.begin(), costs.end());
+    const auto rated = rate_targets(job, targets);
     std::vector<std::size_t> best;
     std::vector<double> weights;
-    for (std::size_t i = 0; i < targets.size(); i++) {
-        if (costs[i] <= lowest + equal_wait_ms) {
+    for (std::size_t i = 0; i < rated.size(); i++) {
+        if (rated[i].weight > 0) {
             best.push_back(i);
-            weights.push_back(
-                static_cast<double>(std::max<std::int64_t>(free_cpu_millis(targets[i]), 1)));
+            weights.push_back(rated[i].weight);
         }
     }
     return best[choose_by_weight(weights, random)];
--- a/source/core/gateway/target_choice.h
+++ b/source/core/gateway/target_choice.h
@@ -46,6 +46,17 @@
 std::vector<target> targets_after_refusal(const work::job& job, const std::vector<target>& targets,
                                           const job_slack& slack, int offers);
 
+struct rated_target {
+    double cost_ms = 0; // expected wait, and the cost of leaving the failure domain
+    // Of the random choice among those as good as equal to the best; 0 for the others.
+    double weight = 0;
+
+    bool operator==(const rated_target&) const = default;
+};
+
+// In the order of the targets.
+std::vector<rated_target> rate_targets(const work::job& job, const std::vector<target>& targets);
+
 // Returns the index of the best target; nullopt when the list is empty.
 std::optional<std::size_t> choose_target(const work::job& job, const std::vector<target>& targets,
                                          common::random_source& random);
