--- a/source/core/control/environment.cpp
+++ b/source/core/control/environment.cpp
@@ -28,6 +28,16 @@
     return http::client(entry, entry_timeouts).send(message);
 }
 
+common::result<http::response> process_environment::post(const common::endpoint& entry,
+                                                         const std::string& path,
+                                                         const std::string& body) {
+    http::request message;
+    message.verb = http::method::post;
+    message.path = path;
+    message.body = body;
+    return http::client(entry, entry_timeouts).send(message);
+}
+
 common::time_point process_environment::now() const {
     return m_clock.now();
 }
--- a/source/core/control/environment.h
+++ b/source/core/control/environment.h
@@ -24,6 +24,10 @@
     virtual common::result<http::response> get(const common::endpoint& entry,
                                                const std::string& path) = 0;
 
+    // Sends a POST request with a JSON body to an entry.
+    virtual common::result<http::response>
+    post(const common::endpoint& entry, const std::string& path, const std::string& body) = 0;
+
     virtual common::time_point now() const = 0;
     virtual void pause(common::milliseconds duration) = 0;
     virtual std::string utc_now() const = 0; // ISO 8601
@@ -41,6 +45,8 @@
     std::unique_ptr<platform::table> open_table(const common::endpoint& server) override;
     common::result<http::response> get(const common::endpoint& entry,
                                        const std::string& path) override;
+    common::result<http::response> post(const common::endpoint& entry, const std::string& path,
+                                        const std::string& body) override;
     common::time_point now() const override;
     void pause(common::milliseconds duration) override;
     std::string utc_now() const override;
--- a/source/core/route/route_table.cpp
+++ b/source/core/route/route_table.cpp
@@ -51,6 +51,12 @@
     }
 }
 
+const route* route_table::find_queue(std::string_view name) const {
+    const auto it = std::find_if(m_configuration.routes.begin(), m_configuration.routes.end(),
+                                 [name](const route& r) { return r.queue.name == name; });
+    return it == m_configuration.routes.end() ? nullptr : &*it;
+}
+
 const route* route_table::find(std::string_view host, std::string_view path) const {
     const auto known = m_hosts.find(lower_case(host.substr(0, host.find(':'))));
     if (known == m_hosts.end()) {
--- a/source/core/route/route_table.h
+++ b/source/core/route/route_table.h
@@ -44,6 +44,8 @@
     // The host's route with the longest matching prefix, or nullptr. A port after the host is
     // ignored.
     const route* find(std::string_view host, std::string_view path) const;
+    // The first route to the queue, or nullptr. Goes through all routes.
+    const route* find_queue(std::string_view name) const;
 
 private:
     struct host_routes {
--- a/source/integration_tests/platform_explain_test.cpp
+++ b/source/integration_tests/platform_explain_test.cpp
@@ -3,6 +3,7 @@
 #include <array>
 #include <cstdio>
 #include <cstdlib>
+#include <fstream>
 #include <gtest/gtest.h>
 #include <sys/wait.h>
 #include <thread>
@@ -45,9 +46,67 @@
         return text;
     }
 
+    // Asks the entry by `savoryctl explain-placement`; returns the exit status and the output.
+    std::pair<int, std::string> explain_placement(int entry, const std::string& job,
+                                                  const std::string& arguments) const {
+        const auto path = testing::TempDir() + "platform_explain_job.json";
+        std::ofstream(path) << job;
+        const char* const programs = std::getenv("SAVORY_BIN");
+        const auto command = std::string(programs != nullptr ? programs : ".") +
+                             "/savoryctl explain-placement " + path + " --entry http://" +
+                             m_fleet.host(entry) + ":9464 " + arguments + " 2>&1";
+        std::string text;
+        FILE* const pipe = popen(command.c_str(), "r");
+        std::array<char, 4096> buf{};
+        while (const std::size_t n = std::fread(buf.data(), 1, buf.size(), pipe)) {
+            text.append(buf.data(), n);
+        }
+        const int status = pclose(pipe);
+        return {WIFEXITED(status) ? WEXITSTATUS(status) : -1, text};
+    }
+
     platform_fleet m_fleet{{}};
 };
 
+constexpr const char* job_of_two_tasks =
+    R"({"bestEffort":true,"steps":[{"count":2,"cpu":27000,"memMb":64,"estimateMs":200}]})";
+
+// An answer that operators cannot tell from an error, or that starts the job.
+TEST_F(explained, where_a_job_would_go) {
+    const std::string route = "--host h.example --path /q/";
+    for (int i = 0; i < m_fleet.size(); i++) {
+        const auto [status, text] = explain_placement(i, job_of_two_tasks, route);
+        EXPECT_EQ(status, 0) << text;
+        EXPECT_NE(text.find("target cells"), std::string::npos) << text;
+        EXPECT_NE(text.find("own cell: "), std::string::npos) << text;
+    }
+    const auto told = explain_placement(0, job_of_two_tasks, route + " --json").second;
+    EXPECT_NE(told.find("\"own_cell\""), std::string::npos) << told;
+    const struct {
+        std::string job;
+        std::string arguments;
+        std::string error;
+    } bad_input[] = {
+        {job_of_two_tasks, "--queue nowhere", "no queue named nowhere"},
+        {job_of_two_tasks, "--host nowhere.example --path /q/", "no queue at"},
+        {"{}", route, "steps"},
+        {R"({"bestEffort":true,"steps":[{"count":5000,"cpu":1,"memMb":1,"estimateMs":1}]})", route,
+         "more than 1000 tasks"},
+        {R"({"bestEffort":true,"steps":[{"count":2,"cpu":-5,"memMb":1,"estimateMs":1}]})", route,
+         "error"},
+    };
+    for (const auto& it : bad_input) {
+        const auto [status, text] = explain_placement(0, it.job, it.arguments);
+        EXPECT_EQ(status, 2) << text;
+        EXPECT_NE(text.find(it.error), std::string::npos) << text;
+    }
+    m_fleet.entry(0).kill();
+    EXPECT_EQ(explain_placement(0, job_of_two_tasks, route).first, 2);
+    std::ifstream log(m_fleet.log_file(0));
+    const std::string lines{std::istreambuf_iterator<char>(log), {}};
+    EXPECT_EQ(lines.find("0000000000000000"), std::string::npos) << "a job was started or logged";
+}
+
 TEST_F(explained, a_refusal_under_overload) {
     constexpr int callers = 30;
     std::array<std::string, callers> ids;
--- a/source/integration_tests/savoryctl_test.cpp
+++ b/source/integration_tests/savoryctl_test.cpp
@@ -80,6 +80,15 @@
      "apply --platform http://127.43.1.1:9 --entries http://127.43.1.1:9 nowhere.toml", 2,
      "nowhere.toml: cannot be read"},
     {"unreachable_entry", "explain j-1 --entry http://127.43.1.1:9", 3, "not reached"},
+    {"placement_of_no_queue", "explain-placement x.json --entry http://127.43.1.1:9", 2, "--queue"},
+    {"placement_of_no_file", "explain-placement nowhere.json --queue q --entry http://127.43.1.1:9",
+     2, "cannot be read"},
+    {"placement_of_no_json",
+     "explain-placement " + sample("brana.toml") + " --queue q --entry http://127.43.1.1:9", 2,
+     "not a JSON object"},
+    {"placement_of_absurd_patience",
+     "explain-placement x.json --queue q --patience-ms 99999999999 --entry http://127.43.1.1:9", 2,
+     "--patience-ms"},
 };
 
 INSTANTIATE_TEST_SUITE_P(savoryctl, usages, testing::ValuesIn(usage_cases),
--- a/source/programs/savoryctl/main.cpp
+++ b/source/programs/savoryctl/main.cpp
@@ -7,6 +7,7 @@
 #include "core/control/apply.h"
 #include "core/control/explain.h"
 #include "core/control/explain_log.h"
+#include "core/control/explain_placement.h"
 #include "core/control/status.h"
 #include "core/control/validate.h"
 
@@ -20,11 +21,12 @@
   savoryctl apply samples/brana.toml --platform http://10.0.0.1:7000
   savoryctl status --entries http://10.1.0.1:8080,http://10.2.0.1:8080
   savoryctl explain 83f4317b8b9f3551 --log entry-1.log --log entry-2.log
+  savoryctl explain-placement job.json --entry http://10.1.0.1:9464 --queue short
 
 Exit codes:
   0  done
   1  refused: a conflict with another change, or the other side refused
-  2  invalid usage, or an invalid file
+  2  invalid usage, or an invalid file; of explain-placement: any failure
   3  the platform or an entry could not be reached, or the outcome is unknown
   4  accepted, but not in force on every entry in time)";
 
@@ -42,6 +44,7 @@
     std::vector<std::string> logs;
     std::int64_t wait_ms = 6000;
     control::apply_options apply;
+    control::explain_placement_options placement;
     control::print_settings_options print;
     std::function<exit_status(control::environment&, control::console&)> run;
 };
@@ -209,6 +212,39 @@
     });
 }
 
+void add_explain_placement(command_line& line) {
+    CLI::App* const command = add_command(
+        line, "explain-placement", "Explain where a job would go now, without sending it",
+        "explain-placement job.json --entry http://10.1.0.1:9464 --queue short");
+    add_json(command, line);
+    command->add_option("FILE", line.placement.path, "The job in JSON, as a caller would send it")
+        ->required();
+    command
+        ->add_option("--entry", line.entry,
+                     "Entry of the users' platform, at the port that serves its metrics")
+        ->required()
+        ->check(url_check);
+    auto* const queue = command->add_option("--queue", line.placement.queue, "Name of the queue");
+    auto* const host =
+        command->add_option("--host", line.placement.host, "Host that callers of the queue name")
+            ->excludes(queue);
+    command->add_option("--path", line.placement.route, "Path that callers of the queue name")
+        ->needs(host);
+    command
+        ->add_option("--patience-ms", line.placement.patience_ms,
+                     "How long the caller waits; if omitted, as the queue's route says")
+        ->check(CLI::Range(1, 86'400'000));
+    command->callback([&line] {
+        if (line.placement.queue.empty() == line.placement.host.empty()) {
+            throw CLI::RequiredError("--queue, or --host and --path");
+        }
+        line.run = [&line](control::environment& env, control::console& io) {
+            line.placement.entry = endpoint_of(line.entry);
+            return control::explain_placement(line.placement, env, io);
+        };
+    });
+}
+
 void add_commands(command_line& line) {
     line.app.set_version_flag("--version", "savoryctl " SAVORY_VERSION);
     line.app.require_subcommand(1);
@@ -220,6 +256,7 @@
     add_apply(line);
     add_status(line);
     add_explain(line);
+    add_explain_placement(line);
 }
 
 int run(int argc, char** argv) {
--- a/source/unit_tests/control/fake_environment.h
+++ b/source/unit_tests/control/fake_environment.h
@@ -51,6 +51,12 @@
         return it->second;
     }
 
+    common::result<http::response> post(const common::endpoint& entry, const std::string& path,
+                                        const std::string& body) override {
+        posted = body;
+        return get(entry, path);
+    }
+
     common::time_point now() const override { return m_clock.now(); }
 
     void pause(common::milliseconds duration) override {
@@ -64,6 +70,7 @@
     std::uint64_t random() override { return 0x1234; }
 
     platform::fake_table table;
+    std::string posted;                                  // body of the latest POST request
     std::map<std::string, http::response> answers;       // keyed by address and path
     std::map<std::string, http::response> later_answers; // added after answers_change_after
     common::milliseconds answers_change_after{0};
--- a/source/unit_tests/gateway/gateway_test.cpp
+++ b/source/unit_tests/gateway/gateway_test.cpp
@@ -131,6 +131,40 @@
     EXPECT_EQ(m_client.sent[0].to, (common::endpoint{"10.0.0.7", 7000}));
 }
 
+// An operator's question must neither send the job nor move the random choice.
+TEST_F(a_gateway, explains_the_choice_without_changing_it) {
+    receive("near", "d", 640000);
+    receive("nearby", "d", 320000);
+    receive("farther", "other", 640000);
+    const auto job = cell::make_job("a", 2, milliseconds(200));
+    m_clock.advance(milliseconds(20));
+    gateway_explanation told;
+    for (int i = 0; i < 1000; i++) {
+        told = m_gateway.explain(job);
+    }
+    EXPECT_TRUE(m_client.sent.empty());
+    EXPECT_EQ(m_gateway.open_jobs(), 0U);
+    EXPECT_TRUE(m_observer.events.empty());
+    EXPECT_FALSE(told.are_all_drained);
+    ASSERT_EQ(told.own.refused.has_value(), true); // the own cell has no executors
+    EXPECT_EQ(told.own.refused->cause, cell::refusal_cause::no_executors);
+    std::vector<target> list;
+    std::map<std::string, double> weights;
+    for (const auto& it : told.candidates) {
+        list.push_back(it.cell);
+        weights[it.cell.name] = it.rating.weight;
+        EXPECT_EQ(it.age, milliseconds(20));
+    }
+    EXPECT_EQ(weights, (std::map<std::string, double>{
+                           {"near", 640000}, {"nearby", 320000}, {"farther", 0}}));
+    // As a gateway chooses that was asked nothing.
+    common::seeded_random unused(1);
+    const auto expected = choose_target(job, list, unused);
+    submit();
+    ASSERT_EQ(m_client.sent.size(), 1U);
+    EXPECT_EQ(m_client.sent[0].to, m_view.find(list.at(expected.value()).name)->address);
+}
+
 TEST_F(a_gateway, offers_a_refused_job_to_the_next_dispatcher) {
     receive("near", "d", 640000);
     receive("farther", "other", 640000);
