--- a/source/core/control/explain_placement.h
+++ b/source/core/control/explain_placement.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <string>
 
+#include "core/control/console.h"
 #include "core/control/environment.h"
 
 namespace savorytrail::control {
--- a/source/unit_tests/cell/explanation_test.cpp
+++ b/source/unit_tests/cell/explanation_test.cpp
@@ -19,7 +19,8 @@
     double load; // offered work / cores
     std::vector<double> speeds;
     bool has_drained_domain;
-    int faulty; // executor that fails its runs; -1: none
+    bool has_failing_tasks;
+    bool interferes = false; // peers tell that tasks of two queues slow each other down
 };
 
 std::ostream& operator<<(std::ostream& out, const load_case& it) {
@@ -47,7 +48,7 @@
         m_cell.actual_run = [&by](const work::job& job, const work::task_id& task) {
             const auto& step = job.steps[task.step];
             return simulated_executor::simulated_task{step.task_resources, step.estimate,
-                                                      by.faulty >= 0 && task.index == 1};
+                                                      by.has_failing_tasks && task.index == 1};
         };
         m_drains.note_known();
         auto& manager = m_cell.at(0).manager();
@@ -58,6 +59,13 @@
         }
         m_cell.at(0).assign(infos);
         m_cell.run_for(milliseconds(200));
+        if (by.interferes) {
+            m_cell.at(0).jobs().task_interference().receive(
+                {{task_kind{"middle", ""}.key(), task_kind{"middle", ""}.key(), 0.7, 100},
+                 {task_kind{"short", ""}.key(), task_kind{"long", ""}.key(), 0.4, 100}},
+                m_cell.at(0).now());
+            EXPECT_TRUE(m_cell.at(0).jobs().task_interference().knows_pairs());
+        }
         if (by.has_drained_domain) {
             m_drains.merge({1, {{"z", milliseconds(0)}}}, m_cell.at(0).now());
             manager.on_drains_changed();
@@ -187,15 +195,18 @@
     EXPECT_EQ(asked.trace(), left_alone.trace());
 }
 
-INSTANTIATE_TEST_SUITE_P(
-    loads, explanation_test,
-    testing::Values(load_case{"calm", 0.4, {1}, false, -1},
-                    load_case{"overload", 1.5, {1}, false, -1},
-                    load_case{"uneven_speeds", 0.8, {0.7, 0.7, 1.7}, false, -1},
-                    load_case{"uneven_overload", 1.5, {0.7, 0.7, 1.7}, false, -1},
-                    load_case{"drained_domain", 0.6, {1}, true, -1},
-                    load_case{"failing_tasks", 0.6, {1}, false, 1}),
-    [](const auto& it) { return std::string(it.param.name); });
+const load_case load_cases[] = {
+    {"calm", 0.4, {1}, false, false},
+    {"overload", 1.5, {1}, false, false},
+    {"uneven_speeds", 0.8, {0.7, 0.7, 1.7}, false, false},
+    {"uneven_overload", 1.5, {0.7, 0.7, 1.7}, false, false},
+    {"drained_domain", 0.6, {1}, true, false},
+    {"failing_tasks", 0.6, {1}, false, true},
+    {"interference", 0.6, {1}, false, false, true},
+};
+
+INSTANTIATE_TEST_SUITE_P(loads, explanation_test, testing::ValuesIn(load_cases),
+                         [](const auto& it) { return std::string(it.param.name); });
 
 // Operators look up why an executor gets no task.
 TEST(explanation, names_what_speaks_against_executors) {
