--- a/source/core/cell/dispatcher.cpp
+++ b/source/core/cell/dispatcher.cpp
@@ -405,20 +405,10 @@
     m_contended_levels = std::move(levels);
 }
 
-<<<<<<< HEAD
-void dispatcher::begin_reservation_pass(time_point now) {
-    if (!m_limits.reserves_capacity || !m_reservation.has_contention(now)) {
-        return;
-    }
-    const auto current = own_load();
-    m_reservation.begin_pass(static_cast<double>(current.usable_cpu_millis),
-                             static_cast<double>(current.capacity_cpu_millis));
-=======
 void dispatcher::begin_reservation_pass(room_reservation& reservation,
                                         const cell_load& free) const {
     reservation.begin_pass(static_cast<double>(free.usable_cpu_millis),
                            static_cast<double>(free.capacity_cpu_millis));
->>>>>>> explain
     for (const auto& it : m_jobs) {
         reservation.add_use(it.job().queue.priority, it.active_cpu_millis());
     }
@@ -526,17 +516,12 @@
     }
     m_is_dispatching = true;
     const auto now = m_clock.now();
-<<<<<<< HEAD
     if (m_limits.packs_by_value) {
         m_packing.refresh(m_executor_manager.executors(), now);
     }
-    begin_reservation_pass(now);
-=======
-    m_packing.refresh(m_executor_manager.executors(), now);
-    if (m_reservation.has_contention(now)) {
+    if (m_limits.reserves_capacity && m_reservation.has_contention(now)) {
         begin_reservation_pass(m_reservation, own_load());
     }
->>>>>>> explain
     std::vector<std::pair<rank, job_record*>> order;
     for (auto& it : m_jobs) {
         if (it.has_waiting() && may_start(it)) {
@@ -597,8 +582,10 @@
     note_task_sizes(job, typical_cpu_millis, plan.values);
     room_reservation reservation = m_reservation;
     reservation.add_job(candidate.job(), now);
-    plan.values.refresh(plan.executors, now);
-    if (reservation.has_contention(now)) {
+    if (m_limits.packs_by_value) {
+        plan.values.refresh(plan.executors, now);
+    }
+    if (m_limits.reserves_capacity && reservation.has_contention(now)) {
         begin_reservation_pass(
             reservation, load_of(plan.executors, plan.values, typical_cpu_millis, m_speeds, now));
     }
--- a/source/core/cell/task_starter.cpp
+++ b/source/core/cell/task_starter.cpp
@@ -178,26 +178,14 @@
 void task_starter::for_each_waiting(job_record& job, const Start& start) {
     std::optional<int> full_step; // tasks of a step have equal requirements
     for (auto& task : job.tasks()) {
-<<<<<<< HEAD
         task.awaits_faster_executor = false;
         if (task.state != task_state::waiting || task.step == full_step) {
             continue;
         }
-        switch (start(job, task)) {
-        case attempt::started:
-            started.push_back(&task);
-            break;
-        case attempt::no_room:
-            full_step = task.step;
-            break;
-        case attempt::held:
-            task.awaits_faster_executor = true;
-            break;
-=======
-        if (task.state == task_state::waiting && task.step != full_step &&
-            start(task) == attempt::no_room) {
+        const auto result = start(task);
+        task.awaits_faster_executor = result == attempt::held;
+        if (result == attempt::no_room) {
             full_step = task.step;
->>>>>>> explain
         }
     }
 }
--- a/source/core/cell/task_starter.h
+++ b/source/core/cell/task_starter.h
@@ -52,15 +52,11 @@
     void begin_round() { m_awaited.clear(); }
     // Starts as many of the job's waiting tasks as there is room for now, and returns them.
     std::vector<const task_record*> start_waiting_tasks(job_record& job);
-<<<<<<< HEAD
-    // Whether any waiting task of the job fits an executor whose failure domain lets it start.
-=======
     // The same on a plan: changes only the plan and the job, which is to be a copy. Lists options
     // only for jobs `with_options`.
     std::vector<planned_task> plan_waiting_tasks(job_record& job, start_plan& plan,
                                                  bool with_options) const;
-    // Whether the failure domain of any executor lets the job start tasks.
->>>>>>> explain
+    // Whether any waiting task of the job fits an executor whose failure domain lets it start.
     bool may_start_later(const job_record& job) const;
 
 private:
