--- a/source/core/cell/dispatcher.cpp
+++ b/source/core/cell/dispatcher.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "core/cell/placement.h"
+
 namespace savorytrail::cell {
 namespace {
 
@@ -453,9 +455,8 @@
         return std::any_of(executors.begin(), executors.end(), [&](const auto& it) {
             const auto& info = it.second->info;
             return it.second->state == claim_state::held && !it.second->is_drained &&
-                   info.upstream == job.job().queue.upstream &&
-                   info.capacity.covers(step.task_resources) &&
-                   (step.required_label.empty() || info.has_label(step.required_label));
+                   is_eligible(step, job.job().queue.upstream, info) &&
+                   info.capacity.covers(step.task_resources);
         });
     });
 }
--- a/source/core/cell/free_room.cpp
+++ b/source/core/cell/free_room.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <limits>
 
+#include "core/cell/placement.h"
+
 namespace savorytrail::cell {
 namespace {
 
@@ -28,12 +30,6 @@
 
 } // namespace
 
-bool is_eligible(const work::step& step, const std::string& upstream,
-                 const work::executor_info& it) {
-    return it.upstream == upstream &&
-           (step.required_label.empty() || it.has_label(step.required_label));
-}
-
 free_room::free_room(const executor_map& executors, common::time_point now) {
     for (const auto& [id, it] : executors) {
         const bool is_cold = it->is_cold(now);
--- a/source/core/cell/free_room.h
+++ b/source/core/cell/free_room.h
@@ -52,10 +52,6 @@
 job_room room_for(const job_record& candidate, const std::list<job_record>& jobs,
                   const executor_map& executors, common::time_point now);
 
-// Whether tasks of the step may run there, whatever is free.
-bool is_eligible(const work::step& step, const std::string& upstream,
-                 const work::executor_info& it);
-
 // Whether each task of the job fits into an executor that the cell has or is claiming, once it is
 // idle and healthy. A job that has not begun gets none in a drained failure domain.
 bool has_fitting_executors(const work::job& job, const executor_map& executors);
--- a/source/core/cell/placement.cpp
+++ b/source/core/cell/placement.cpp
@@ -28,7 +28,7 @@
 
 bool suits(const placement_request& request, const executor_record& it, common::time_point now) {
     const auto& step = *request.step;
-    if (it.info.upstream != *request.upstream) {
+    if (!is_eligible(step, *request.upstream, it.info)) {
         return false;
     }
     if (it.is_drained &&
@@ -38,9 +38,6 @@
     if (it.is_cold(now) && !it.runs.empty()) {
         return false; // a cold executor runs one task at a time
     }
-    if (!step.required_label.empty() && !it.info.has_label(step.required_label)) {
-        return false;
-    }
     return step.max_per_executor == 0 ||
            request.tasks_on_executor(it.info.id) < step.max_per_executor;
 }
@@ -97,6 +94,12 @@
 
 } // namespace
 
+bool is_eligible(const work::step& step, const std::string& upstream,
+                 const work::executor_info& it) {
+    return it.upstream == upstream &&
+           (step.required_label.empty() || it.has_label(step.required_label));
+}
+
 placement place(const placement_request& request, const executor_map& executors,
                 common::time_point now) {
     placement best;
--- a/source/core/cell/placement.h
+++ b/source/core/cell/placement.h
@@ -19,6 +19,10 @@
 
 namespace savorytrail::cell {
 
+// Whether tasks of the step may run there, whatever is free.
+bool is_eligible(const work::step& step, const std::string& upstream,
+                 const work::executor_info& it);
+
 struct placement_request {
     const work::step* step = nullptr;
     const std::string* upstream = nullptr;
--- a/source/core/cell/task_starter.cpp
+++ b/source/core/cell/task_starter.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 
-#include "core/cell/free_room.h"
 #include "core/cell/placement.h"
 
 namespace savorytrail::cell {
