--- a/source/core/cell/placement.cpp
+++ b/source/core/cell/placement.cpp
@@ -30,8 +30,8 @@
 std::string_view unsuitability(const placement_request& request, const executor_record& it,
                                common::time_point now) {
     const auto& step = *request.step;
-    if (it.info.upstream != *request.upstream) {
-        return "other_upstream";
+    if (!is_eligible(step, *request.upstream, it.info)) {
+        return it.info.upstream == *request.upstream ? "label" : "other_upstream";
     }
     if (it.is_drained &&
         !(it.is_in_drain_grace(now) && request.has_begun_in(it.info.failure_domain))) {
@@ -40,9 +40,6 @@
     if (it.is_cold(now) && !it.runs.empty()) {
         return "cold"; // a cold executor runs one task at a time
     }
-    if (!step.required_label.empty() && !it.info.has_label(step.required_label)) {
-        return "label";
-    }
     if (step.max_per_executor != 0 &&
         request.tasks_on_executor(it.info.id) >= step.max_per_executor) {
         return "max_per_executor";
@@ -158,6 +155,12 @@
     return list;
 }
 
+bool is_eligible(const work::step& step, const std::string& upstream,
+                 const work::executor_info& it) {
+    return it.upstream == upstream &&
+           (step.required_label.empty() || it.has_label(step.required_label));
+}
+
 placement place(const placement_request& request, const executor_map& executors,
                 common::time_point now) {
     placement best;
