--- a/source/core/cell/task_starter.cpp
+++ b/source/core/cell/task_starter.cpp
@@ -49,12 +49,6 @@
     return std::max(limit, std::min(extended, useful));
 }
 
-milliseconds task_starter::expected_duration(const work::step& step,
-                                             const task_record& task) const {
-    const auto& executor = m_executor_manager.executors().at(task.executor)->info;
-    return scaled(step.estimate, 1 / m_speeds.current_speed(executor));
-}
-
 placement_request task_starter::request_for(const job_record& job, const task_record& task,
                                             const start_plan* plan) const {
     placement_request request;
@@ -125,14 +119,16 @@
     const auto& step = job.step_of(task);
     task.last_run_number++;
     task.executor = *executor;
-    const auto expected = expected_duration(step, task);
+    const auto& info = m_executor_manager.executors().at(*executor)->info;
+    const double speed = m_speeds.current_speed(info);
+    const auto expected = scaled(step.estimate, 1 / speed);
     if (!m_executor_manager.start(*executor, {id, task.last_run_number}, step.task_resources,
                                   time_limit(job, task), job.job().payload, expected)) {
         task.last_run_number--;
         return attempt::no_room;
     }
-    m_interference.note_start(*executor, {id, task.last_run_number}, kind_of(job, task), expected,
-                              m_clock.now());
+    m_interference.note_start(*executor, {id, task.last_run_number}, kind_of(job, task),
+                              {expected, job.caller_estimate(task.step), speed}, m_clock.now());
     job.set_state(task, task_state::active);
     job.note_start();
     return attempt::started;
@@ -238,7 +234,8 @@
             run_record run;
             run.occupied = job.step_of(task).task_resources;
             run.started_at = now;
-            run.expected = expected_duration(job.step_of(task), task);
+            run.expected =
+                scaled(job.step_of(task).estimate, 1 / m_speeds.current_speed(record.info));
             record.used += run.occupied;
             record.runs.emplace(work::run_key{id, task.last_run_number + 1}, std::move(run));
             plan.kinds[*executor].push_back(kind_of(job, task).key());
--- a/source/core/cell/task_starter.h
+++ b/source/core/cell/task_starter.h
@@ -75,8 +75,6 @@
     // `plan`: nullptr for the cell as it is. The request refers to the job and the task.
     placement_request request_for(const job_record& job, const task_record& task,
                                   const start_plan* plan) const;
-    // On the executor of the run.
-    common::milliseconds expected_duration(const work::step& step, const task_record& task) const;
     common::milliseconds time_limit(const job_record& job, const task_record& task) const;
 
     const limits& m_limits;
