--- a/source/core/cell/dispatcher.cpp
+++ b/source/core/cell/dispatcher.cpp
@@ -11,18 +11,19 @@
 using common::milliseconds;
 using common::time_point;
 
-// Minimum retry delay sent to a caller whose job was refused or given up.
-constexpr milliseconds min_retry_after{1000};
 // Weight of the newest step in the average size of tasks.
 constexpr double task_size_weight = 0.05;
 // Time for the final answer to reach the caller before its patience ends.
 constexpr milliseconds answer_margin{80};
+// Executors that miss one report or are claimed anew are back sooner than another cell could start
+// the jobs that wait for them.
+constexpr milliseconds tolerated_outage{150};
+constexpr const char* no_executor_left = "no executor takes work any more";
 constexpr const char* unrenewed = "its entry does not confirm that the caller still waits";
 
-milliseconds run_time_limit(const limits& by, const work::step& step, int lost_runs) {
-    const double factor = by.stuck_factor * static_cast<double>(1 << std::min(lost_runs, 4));
-    const auto estimate = static_cast<double>(std::max<std::int64_t>(step.estimate.count(), 1));
-    return milliseconds(static_cast<std::int64_t>(estimate * factor)) + by.stuck_grace;
+// For those who sent a job earlier.
+work::outcome sent_again() {
+    return {work::job_end::given_up, "its caller has sent it again", {}};
 }
 
 } // namespace
@@ -95,66 +96,106 @@
         return ticket;
     }
     job_record record(m_durations.with_predicted_durations(job), job, m_limits, m_clock.now());
-    if (const auto refusal = check_admission(record)) {
-        m_observer.job_event(job.id, "job_refused", refusal->reason);
-        first.done(*refusal);
+    const auto view = view_for(record);
+    const auto count_room = [&] { return room_of(record); };
+    if (const auto refusal = m_admission.check(record, view, count_room, m_clock.now())) {
+        m_observer.job_event(job.id, "job_refused",
+                             refusal->outcome.reason + "; " + describe(view, refusal->room));
+        m_observer.count_refusal(refusal->cause);
+        first.done(refusal->outcome);
         return ticket;
     }
     record.waiters.push_back(std::move(first));
     m_jobs.push_back(std::move(record));
     m_by_id[job.id] = std::prev(m_jobs.end());
-    note_task_sizes(job);
+    note_task_sizes(job, m_typical_task_cpu_millis, m_packing);
+    m_reservation.add_job(m_jobs.back().job(), m_clock.now());
     on_resources_freed();
     return ticket;
 }
 
-void dispatcher::note_task_sizes(const work::job& job) {
+void dispatcher::note_task_sizes(const work::job& job, double& typical_cpu_millis,
+                                 packing& values) {
     for (const auto& step : job.steps) {
         const auto size = static_cast<double>(step.task_resources.cpu_millis);
-        const double weight = m_typical_task_cpu_millis == 0 ? 1 : task_size_weight;
-        m_typical_task_cpu_millis += weight * (size - m_typical_task_cpu_millis);
+        const double weight = typical_cpu_millis == 0 ? 1 : task_size_weight;
+        typical_cpu_millis += weight * (size - typical_cpu_millis);
+        values.add(step.task_resources.cpu_millis, step.tasks);
     }
 }
 
+bool dispatcher::counts_as_started(const job_record& job, std::optional<double>& free_left) const {
+    if (!job.is_held_back()) {
+        return false;
+    }
+    if (!free_left) {
+        free_left = static_cast<double>(own_load().usable_cpu_millis);
+    }
+    if (job.waiting_cpu_millis() > *free_left) {
+        return false;
+    }
+    *free_left -= job.waiting_cpu_millis();
+    return true;
+}
+
+cell_load dispatcher::own_load() const {
+    return load_of(m_executor_manager.executors(), m_packing, m_typical_task_cpu_millis, m_speeds,
+                   m_clock.now());
+}
+
 double dispatcher::waiting_cpu_demand() const {
     double sum = 0;
+    std::optional<double> free_left;
     for (const auto& it : m_jobs) {
-        sum += it.waiting_cpu_demand();
+        sum += counts_as_started(it, free_left) ? 0 : it.waiting_cpu_demand();
     }
     return sum;
 }
 
 double dispatcher::effective_capacity() const {
-    return m_capacity_meter.effective(static_cast<double>(load().capacity_cpu_millis));
+    const auto nominal = own_load();
+    return m_capacity_meter.effective(static_cast<double>(nominal.capacity_cpu_millis));
 }
 
-std::optional<work::outcome> dispatcher::check_admission(const job_record& candidate) {
-    const auto& job = candidate.job();
+admission_view dispatcher::view_for(const job_record& candidate) const {
     const auto now = m_clock.now();
-    const double capacity = effective_capacity();
-    if (capacity <= 0) {
-        return work::outcome{work::job_end::not_run, "no executor takes work", min_retry_after,
-                             true};
-    }
     const auto candidate_rank = rank_of(candidate, now);
-    double ahead = 0;
+    admission_view view;
+    view.capacity = effective_capacity();
+    view.age = capacity_age();
+    view.has_fitting_executors =
+        has_fitting_executors(candidate.job(), m_executor_manager.executors());
+    std::optional<double> free_left;
     for (const auto& it : m_jobs) {
+        if (counts_as_started(it, free_left)) {
+            continue;
+        }
+        const double work = it.waiting_cpu_demand();
+        view.work_waiting += work;
         if (it.has_waiting() && rank_of(it, now) < candidate_rank) {
-            ahead += it.waiting_cpu_demand();
+            view.work_ahead += work;
         }
     }
-    const auto wait = milliseconds(static_cast<std::int64_t>(ahead / capacity));
-    const auto end = now + wait + job.critical_path_length();
-    if (end > candidate.late_until() || end > candidate.give_up_at()) {
-        return work::outcome{work::job_end::not_run, "the wait would be too long",
-                             std::max(min_retry_after, wait)};
-    }
-    const auto backlog = milliseconds(static_cast<std::int64_t>(waiting_cpu_demand() / capacity));
-    if (!m_fairness.admit(job.queue.name, job.cpu_demand(), capacity, backlog, now)) {
-        return work::outcome{work::job_end::not_run, "overload, and its queue had its share",
-                             min_retry_after};
+    return view;
+}
+
+std::optional<milliseconds> dispatcher::capacity_age() const {
+    std::optional<time_point> newest;
+    for (const auto& [id, it] : m_executor_manager.executors()) {
+        if (it->reported_at) {
+            newest = std::max(newest.value_or(*it->reported_at), *it->reported_at);
+        }
     }
-    return std::nullopt;
+    return newest ? std::optional(std::chrono::duration_cast<milliseconds>(m_clock.now() - *newest))
+                  : std::nullopt;
+}
+
+job_room dispatcher::room_of(const job_record& job) const {
+    return room_for(job, m_jobs, m_executor_manager.executors(), m_clock.now());
+}
+
+milliseconds dispatcher::retry_after() const {
+    return retry_after_for(static_cast<double>(load().backlog_ms));
 }
 
 void dispatcher::abandon(std::uint64_t ticket) {
@@ -179,41 +220,36 @@
     for (const auto& task : job.tasks()) {
         if (task.state == task_state::active) {
             const auto id = job.id_of(task);
-            m_stopping_runs[id]++;
-            m_stopping_jobs.try_emplace(id.job, stopping_job{m_clock.now()}).first->second.runs++;
+            m_stopping_runs.add(id, m_clock.now());
             m_executor_manager.stop(task.executor, {id, task.last_run_number}, runs_end_by);
         }
     }
 }
 
-void dispatcher::note_stopped_run(const std::string& job, run_result result) {
-    const auto found = m_stopping_jobs.find(job);
-    if (found == m_stopping_jobs.end()) {
-        return;
-    }
-    auto& it = found->second;
-    const bool ended_by_itself = result == run_result::done || result == run_result::failed;
-    (ended_by_itself ? it.done : it.stopped)++;
-    if (--it.runs > 0) {
+void dispatcher::note_stopped_run(const work::task_id& task, run_result result) {
+    const auto it = m_stopping_runs.remove(task, result, m_clock.now());
+    if (!it) {
         return;
     }
-    const auto took = std::chrono::duration_cast<milliseconds>(m_clock.now() - it.closed_at);
-    m_observer.job_event(job, "runs_stopped",
-                         "after " + std::to_string(took.count()) + " ms, " +
-                             std::to_string(it.stopped) + " stopped, " + std::to_string(it.done) +
+    m_observer.job_event(task.job, "runs_stopped",
+                         "after " + std::to_string(it->took.count()) + " ms, " +
+                             std::to_string(it->stopped) + " stopped, " + std::to_string(it->done) +
                              " ended by themselves");
-    m_observer.runs_stopped(took);
-    m_stopping_jobs.erase(found);
+    m_observer.runs_stopped(it->took);
 }
 
 void dispatcher::close(job_list::iterator job, const work::outcome& outcome,
                        time_point runs_end_by) {
     m_by_id.erase(job->job().id);
+    end_hold(*job);
     const job_record closed = std::move(*job);
     m_jobs.erase(job);
     stop_runs(closed, runs_end_by);
+    // Only one may offer the job to other cells, or it could run in two of them at once.
+    const auto latest = closed.waiters.empty() ? 0 : closed.waiters.back().ticket;
     for (const auto& it : closed.waiters) {
-        it.done(outcome);
+        const bool is_replaced = outcome.end == work::job_end::not_run && it.ticket != latest;
+        it.done(is_replaced ? sent_again() : outcome);
     }
 }
 
@@ -227,15 +263,36 @@
     close(job, outcome, end_of_runs(*job));
 }
 
-work::outcome dispatcher::given_up_outcome(const job_record& job, const std::string& reason) const {
+work::outcome dispatcher::given_up_outcome(const job_record& job, refusal_cause cause,
+                                           const std::string& reason) const {
     const auto end = job.may_have_run() ? work::job_end::given_up : work::job_end::not_run;
-    m_observer.job_event(job.job().id,
-                         end == work::job_end::given_up ? "job_given_up" : "job_refused", reason);
-    return {end, reason, min_retry_after};
+    const auto detail = reason + "; " + describe(view_for(job), room_of(job));
+    if (end == work::job_end::given_up) {
+        m_observer.job_event(job.job().id, "job_given_up", detail);
+    } else {
+        m_observer.job_event(job.job().id, "job_refused", detail);
+        m_observer.count_refusal(cause);
+    }
+    return {end, reason, retry_after()};
 }
 
-void dispatcher::give_up(job_list::iterator job, const std::string& reason) {
-    close(job, given_up_outcome(*job, reason));
+void dispatcher::give_up(job_list::iterator job, refusal_cause cause, const std::string& reason) {
+    close(job, given_up_outcome(*job, cause, reason));
+}
+
+bool dispatcher::leave_drained(job_list::iterator job) {
+    const bool is_running =
+        std::any_of(job->tasks().begin(), job->tasks().end(),
+                    [](const task_record& it) { return it.state == task_state::active; });
+    // A run may be the last that its job needs, or end within the grace.
+    if (is_running || !job->has_waiting() || m_starter.may_start_later(*job)) {
+        return false;
+    }
+    auto outcome =
+        given_up_outcome(*job, refusal_cause::no_executors, "its failure domain is drained");
+    outcome.lacked_executors = outcome.end == work::job_end::not_run;
+    close(job, outcome);
+    return true;
 }
 
 void dispatcher::remove_earlier_waiters(job_record& job, std::uint64_t ticket) {
@@ -248,7 +305,7 @@
         return is_earlier;
     });
     for (const auto& it : removed) {
-        it.done({work::job_end::given_up, "its caller has sent it again", {}});
+        it.done(sent_again());
     }
 }
 
@@ -260,7 +317,7 @@
         return false;
     }
     if (rest == waiters.begin()) {
-        give_up(job, unrenewed);
+        give_up(job, refusal_cause::not_renewed, unrenewed);
         return true;
     }
     const std::vector<waiter> removed(std::make_move_iterator(rest),
@@ -268,7 +325,7 @@
     waiters.erase(rest, waiters.end());
     m_observer.job_event(job->job().id, "job_lease_ended", unrenewed);
     for (const auto& it : removed) {
-        it.done({work::job_end::given_up, unrenewed, min_retry_after});
+        it.done({work::job_end::given_up, unrenewed, retry_after()});
     }
     return false;
 }
@@ -285,25 +342,40 @@
 
 void dispatcher::tick() {
     const auto now = m_clock.now();
-    const bool is_overloaded = m_fairness.is_overloaded(effective_capacity(), now);
+    note_executors();
+    const bool has_drained = m_executor_manager.has_drained();
+    const double capacity = effective_capacity();
+    // Without executors, any work that was offered a moment ago would look like overload.
+    const bool is_overloaded = capacity > 0 && m_admission.is_overloaded(capacity, now);
+    return_stranded_jobs(now);
+    note_interference(m_interference.tick(now));
     bool has_waiting_tasks = false;
+    bool waits_for_cores = false;
+    bool has_held_back_jobs = false;
     for (auto it = m_jobs.begin(); it != m_jobs.end();) {
         const auto job = it++;
-        if (remove_unrenewed_waiters(job, now)) {
+        if (remove_unrenewed_waiters(job, now) || (has_drained && leave_drained(job))) {
             continue;
         }
-        has_waiting_tasks = has_waiting_tasks || job->has_waiting();
+        // What is held back leaves capacity free on purpose, which says nothing about utilization.
+        has_held_back_jobs = has_held_back_jobs || job->is_held_back();
+        has_waiting_tasks = has_waiting_tasks || (job->has_waiting() && !job->is_held_back());
+        waits_for_cores = waits_for_cores || (!job->is_held_back() && is_waiting_for_cores(*job));
         const auto group = rank_of(*job, now).group;
         if (now + answer_margin >= job->give_up_at()) {
-            give_up(job, "its caller's patience ends");
+            give_up(job, refusal_cause::patience, "its caller's patience ends");
         } else if (group == urgency::too_late) {
-            give_up(job, "no executor became free in time");
+            give_up(job, refusal_cause::not_started, "no executor became free in time");
         } else if (group == urgency::late && is_overloaded) {
             // Under overload, a late job would take resources from jobs that can still be on time.
-            give_up(job, "it would be late, and more work comes than can be done");
+            give_up(job, refusal_cause::late_overload,
+                    "it would be late, and more work comes than can be done");
         }
     }
-    if (has_waiting_tasks) {
+    if (!has_waiting_tasks) {
+        m_capacity_meter.note_calm();
+    }
+    if (waits_for_cores) {
         const auto current_load = load();
         if (current_load.capacity_cpu_millis > 0) {
             m_capacity_meter.add_utilization(
@@ -311,46 +383,118 @@
                         static_cast<double>(current_load.capacity_cpu_millis));
         }
     }
+    note_contention(now);
+    if (has_held_back_jobs) {
+        on_resources_freed(); // the slack of one may be used up, and no run may end in time
+    }
 }
 
-bool dispatcher::has_stopping_run(const work::task_id& task) const {
-    return m_stopping_runs.contains(task);
+void dispatcher::note_contention(time_point now) {
+    auto levels = m_reservation.contended_levels(now);
+    if (levels == m_contended_levels) {
+        return;
+    }
+    const auto note_missing = [&](const std::vector<int>& from, const std::vector<int>& in,
+                                  bool is_on) {
+        for (const int it : from) {
+            if (std::find(in.begin(), in.end(), it) == in.end()) {
+                m_observer.contention_changed(it, is_on);
+            }
+        }
+    };
+    note_missing(m_contended_levels, levels, false);
+    note_missing(levels, m_contended_levels, true);
+    m_contended_levels = std::move(levels);
 }
 
-bool dispatcher::start(job_record& job, task_record& task) {
-    const auto id = job.id_of(task);
-    if (has_stopping_run(id)) {
-        return false;
+void dispatcher::begin_reservation_pass(room_reservation& reservation,
+                                        const cell_load& free) const {
+    reservation.begin_pass(static_cast<double>(free.usable_cpu_millis),
+                           static_cast<double>(free.capacity_cpu_millis));
+    for (const auto& it : m_jobs) {
+        reservation.add_use(it.job().queue.priority, it.active_cpu_millis());
     }
-    const auto& step = job.step_of(task);
-    placement_request request;
-    request.step = &step;
-    request.upstream = &job.job().queue.upstream;
-    request.avoid = &task.avoid;
-    request.tasks_on_executor = [&](const std::string& executor) {
-        return static_cast<int>(
-            std::count_if(job.tasks().begin(), job.tasks().end(), [&](const task_record& other) {
-                return other.step == task.step && other.state == task_state::active &&
-                       other.executor == executor;
-            }));
-    };
-    const auto* executor = place(request, m_executor_manager.executors(), m_clock.now());
-    if (executor == nullptr) {
+}
+
+bool dispatcher::is_held_back(job_record& job, time_point now) {
+    const auto level = m_reservation.must_wait_for(job, job.waiting_cpu_millis(), now);
+    if (!level) {
+        if (job.held_back) {
+            job.held_back->is_in_force = false;
+        }
         return false;
     }
-    task.last_run_number++;
-    task.executor = *executor;
-    const auto limit = run_time_limit(m_limits, step, task.lost_runs);
-    if (!m_executor_manager.start(*executor, {id, task.last_run_number}, step.task_resources, limit,
-                                  job.job().payload)) {
-        task.last_run_number--;
-        return false;
+    if (!job.held_back) {
+        job.held_back = hold{now, *level};
+        m_observer.job_event(job.job().id, "job_held_back",
+                             "for jobs of priority " + std::to_string(*level));
     }
-    job.set_state(task, task_state::active);
-    job.note_start();
+    job.held_back->is_in_force = true;
     return true;
 }
 
+void dispatcher::end_hold(job_record& job) {
+    if (job.held_back) {
+        const auto held =
+            std::chrono::duration_cast<milliseconds>(m_clock.now() - job.held_back->since);
+        m_observer.hold_ended(job.held_back->for_priority, held);
+        job.held_back.reset();
+    }
+}
+
+bool dispatcher::lacks_only_free_capacity(const job_record& job) const {
+    const auto& executors = m_executor_manager.executors();
+    return std::any_of(job.tasks().begin(), job.tasks().end(), [&](const task_record& task) {
+        if (task.state != task_state::waiting || task.awaits_faster_executor ||
+            m_stopping_runs.contains(job.id_of(task))) {
+            return false;
+        }
+        const auto& step = job.step_of(task);
+        return std::any_of(executors.begin(), executors.end(), [&](const auto& it) {
+            const auto& info = it.second->info;
+            return it.second->state == claim_state::held && !it.second->is_drained &&
+                   is_eligible(step, job.job().queue.upstream, info) &&
+                   info.capacity.covers(step.task_resources);
+        });
+    });
+}
+
+bool dispatcher::is_waiting_for_cores(const job_record& job) const {
+    if (!job.has_waiting() || !may_start(job)) {
+        return false;
+    }
+    const auto& executors = m_executor_manager.executors();
+    return std::any_of(job.tasks().begin(), job.tasks().end(), [&](const task_record& task) {
+        const auto& step = job.step_of(task);
+        return task.state == task_state::waiting && !task.awaits_faster_executor &&
+               step.max_per_executor == 0 &&
+               std::all_of(executors.begin(), executors.end(), [&](const auto& it) {
+                   return is_eligible(step, job.job().queue.upstream, it.second->info);
+               });
+    });
+}
+
+void dispatcher::return_stranded_jobs(time_point now) {
+    const auto& executors = m_executor_manager.executors();
+    if (effective_capacity() > 0) {
+        m_had_capacity_at = now;
+    }
+    const bool is_outage = now - m_had_capacity_at > tolerated_outage;
+    for (auto it = m_jobs.begin(); it != m_jobs.end();) {
+        const auto job = it++;
+        if (job->may_have_run() || !job->has_waiting()) {
+            continue;
+        }
+        if (is_outage) {
+            auto outcome = given_up_outcome(*job, refusal_cause::no_executors, no_executor_left);
+            outcome.lacked_executors = true;
+            close(job, outcome);
+        } else if (m_had_capacity_at == now && !has_fitting_executors(job->job(), executors)) {
+            give_up(job, refusal_cause::none_fits, "no executor is large enough any more");
+        }
+    }
+}
+
 void dispatcher::note_starts(const job_record& job,
                              const std::vector<const task_record*>& started) {
     if (started.empty()) {
@@ -367,28 +511,18 @@
     m_observer.job_event(job.job().id, "tasks_started", executors);
 }
 
-void dispatcher::start_waiting_tasks(job_record& job) {
-    std::vector<const task_record*> started;
-    std::optional<int> full_step; // tasks of a step have equal requirements
-    for (auto& task : job.tasks()) {
-        if (task.state != task_state::waiting || task.step == full_step) {
-            continue;
-        }
-        if (start(job, task)) {
-            started.push_back(&task);
-        } else {
-            full_step = task.step;
-        }
-    }
-    note_starts(job, started);
-}
-
 void dispatcher::on_resources_freed() {
     if (m_is_dispatching) {
         return;
     }
     m_is_dispatching = true;
     const auto now = m_clock.now();
+    if (m_limits.packs_by_value) {
+        m_packing.refresh(m_executor_manager.executors(), now);
+    }
+    if (m_limits.reserves_capacity && m_reservation.has_contention(now)) {
+        begin_reservation_pass(m_reservation, own_load());
+    }
     std::vector<std::pair<rank, job_record*>> order;
     for (auto& it : m_jobs) {
         if (it.has_waiting() && may_start(it)) {
@@ -397,31 +531,155 @@
     }
     std::stable_sort(order.begin(), order.end(),
                      [](const auto& a, const auto& b) { return a.first < b.first; });
+    m_starter.begin_round();
     for (const auto& [job_rank, job] : order) {
-        start_waiting_tasks(*job);
+        const int priority = job->job().queue.priority;
+        if (is_held_back(*job, now)) {
+            continue;
+        }
+        const double used_before = job->active_cpu_millis();
+        const auto started = m_starter.start_waiting_tasks(*job);
+        note_starts(*job, started);
+        if (!started.empty()) {
+            m_reservation.note_started(priority, job->active_cpu_millis() - used_before);
+            end_hold(*job);
+        }
+        if (m_limits.reserves_capacity && job->has_waiting() && lacks_only_free_capacity(*job)) {
+            m_reservation.note_shortage(priority, now);
+        }
     }
+    m_reservation.end_pass();
     m_is_dispatching = false;
 }
 
-void dispatcher::on_run_duration(const work::run_key& run, milliseconds took) {
+placement_explanation dispatcher::explain(const work::job& job) const {
+    const auto now = m_clock.now();
+    const auto until = [now](time_point at) {
+        return std::chrono::duration_cast<milliseconds>(at - now);
+    };
+    job_record candidate(m_durations.with_predicted_durations(job), job, m_limits, now);
+    placement_explanation it;
+    const auto candidate_rank = rank_of(candidate, now);
+    it.group = candidate_rank.group;
+    it.rank_order = candidate_rank.key;
+    it.on_time_for = until(candidate.on_time_until());
+    it.late_for = until(candidate.late_until());
+    it.wanted_for = until(candidate.give_up_at());
+    it.slack = it.on_time_for - candidate.job().critical_path_length();
+    it.view = view_for(candidate);
+    it.room = room_of(candidate);
+    admission accounts = m_admission;
+    it.refused = accounts.check(
+        candidate, it.view, [&] { return it.room; }, now);
+    it.are_starts_paused = !m_executor_manager.can_start_runs();
+
+    // As add() and on_resources_freed(), on copies.
+    start_plan plan;
+    for (const auto& [id, record] : m_executor_manager.executors()) {
+        plan.executors.emplace(id, std::make_unique<executor_record>(*record));
+    }
+    plan.values = m_packing;
+    double typical_cpu_millis = m_typical_task_cpu_millis;
+    note_task_sizes(job, typical_cpu_millis, plan.values);
+    room_reservation reservation = m_reservation;
+    reservation.add_job(candidate.job(), now);
+    if (m_limits.packs_by_value) {
+        plan.values.refresh(plan.executors, now);
+    }
+    if (m_limits.reserves_capacity && reservation.has_contention(now)) {
+        begin_reservation_pass(
+            reservation, load_of(plan.executors, plan.values, typical_cpu_millis, m_speeds, now));
+    }
+    std::vector<std::pair<rank, const job_record*>> order;
+    for (const auto& other : m_jobs) {
+        const auto other_rank = rank_of(other, now);
+        // Of equal ones, the job that arrived first goes first.
+        if (other.has_waiting() && may_start(other) && other_rank <= candidate_rank) {
+            order.emplace_back(other_rank, &other);
+        }
+    }
+    std::stable_sort(order.begin(), order.end(),
+                     [](const auto& a, const auto& b) { return a.first < b.first; });
+    it.jobs_ahead = order.size();
+    const auto plan_job = [&](job_record copy, bool is_candidate) -> std::optional<int> {
+        if (const auto level = reservation.must_wait_for(copy, copy.waiting_cpu_millis(), now)) {
+            return level;
+        }
+        const double used_before = copy.active_cpu_millis();
+        auto tasks = m_starter.plan_waiting_tasks(copy, plan, is_candidate);
+        if (is_candidate) {
+            it.tasks = std::move(tasks);
+            return std::nullopt;
+        }
+        if (copy.active_cpu_millis() != used_before) {
+            reservation.note_started(copy.job().queue.priority,
+                                     copy.active_cpu_millis() - used_before);
+        }
+        if (copy.has_waiting() && lacks_only_free_capacity(copy)) {
+            reservation.note_shortage(copy.job().queue.priority, now);
+        }
+        return std::nullopt;
+    };
+    for (const auto& [other_rank, other] : order) {
+        plan_job(*other, false);
+    }
+    it.held_back_for = plan_job(std::move(candidate), true);
+    return it;
+}
+
+void dispatcher::note_executors() {
+    if (m_known_claims == m_executor_manager.claims_version()) {
+        return;
+    }
+    m_known_claims = m_executor_manager.claims_version();
+    std::vector<const work::executor_info*> list;
+    list.reserve(m_executor_manager.executors().size());
+    for (const auto& [id, it] : m_executor_manager.executors()) {
+        list.push_back(&it->info);
+    }
+    m_speeds.set_executors(list, m_clock.now());
+}
+
+void dispatcher::note_pace(const work::executor_info& executor, executor_speeds::change change) {
+    if (change != executor_speeds::change::none || m_speeds.is_turned_slow(executor.id)) {
+        // Again after each slow run, as its success has ended the probation.
+        m_executor_manager.note_pace(executor.id, change);
+    }
+}
+
+void dispatcher::note_interference(const std::vector<pair_change>& changes) {
+    for (const auto& it : changes) {
+        m_observer.interference_changed(it);
+    }
+}
+
+void dispatcher::on_run_duration(const work::run_key& run, const work::executor_info& executor,
+                                 milliseconds took) {
     const auto job = find(run.task.job);
     if (job == m_jobs.end() || m_stopping_runs.contains(run.task)) {
         return;
     }
     const auto predicted = job->job().steps.at(run.task.step).estimate;
+    const auto seen = m_speeds.add(executor, run.task.job, predicted, took);
+    note_pace(executor, seen.what);
+    if (!seen.speed) {
+        return; // of an executor that is not as fast as usual
+    }
+    // The cell's capacity counts slow executors as less already.
+    const std::chrono::duration<double, std::milli> at_speed_1 = took * *seen.speed;
     if (predicted.count() > 0) {
-        m_capacity_meter.add_run(std::chrono::duration<double>(took) / predicted);
+        m_capacity_meter.add_run(at_speed_1 / predicted);
     }
-    m_durations.add(job->job().queue.name, job->caller_estimate(run.task.step), took);
+    m_durations.add(job->job().queue.name, job->caller_estimate(run.task.step),
+                    milliseconds(std::llround(at_speed_1.count())));
+    note_interference(m_interference.note_success(executor.id, run, took, m_clock.now()));
 }
 
 void dispatcher::on_run_ended(const work::run_key& run, const std::string& executor,
                               run_result result, work::order_status status) {
-    if (const auto stopping = m_stopping_runs.find(run.task); stopping != m_stopping_runs.end()) {
-        if (--stopping->second == 0) {
-            m_stopping_runs.erase(stopping);
-        }
-        note_stopped_run(run.task.job, result);
+    m_interference.note_end(executor, run, m_clock.now());
+    if (m_stopping_runs.contains(run.task)) {
+        note_stopped_run(run.task, result);
         return;
     }
     const auto job = find(run.task.job);
@@ -479,27 +737,24 @@
     for (auto it = m_jobs.begin(); it != m_jobs.end();) {
         const auto job = it++;
         // Callers may have left when the VM stopped, so the runs get no time beyond their leases.
-        close(job, given_up_outcome(*job, "this VM stood still"), m_clock.now());
+        close(job, given_up_outcome(*job, refusal_cause::suspended, "this VM stood still"),
+              m_clock.now());
     }
 }
 
 cell_load dispatcher::load() const {
-    cell_load sum;
-    const auto now = m_clock.now();
-    for (const auto& [id, it] : m_executor_manager.executors()) {
-        if (it->state == claim_state::held && !it->is_retiring && !it->info.is_draining &&
-            !it->is_unresponsive() && !it->health.is_quarantined(now)) {
-            sum.capacity_cpu_millis += it->info.capacity.cpu_millis;
-            const auto free = std::max<std::int64_t>(it->free().cpu_millis, 0);
-            const auto piece = std::max<std::int64_t>(std::llround(m_typical_task_cpu_millis), 1);
-            sum.free_cpu_millis += free;
-            sum.usable_cpu_millis += free / piece * piece;
-        }
+    auto sum = own_load();
+    std::optional<double> free_left;
+    for (const auto& it : m_jobs) {
+        counts_as_started(it, free_left);
+    }
+    if (free_left) {
+        sum.usable_cpu_millis = static_cast<std::int64_t>(*free_left);
     }
     if (sum.capacity_cpu_millis > 0) {
-        sum.backlog_ms = static_cast<std::int64_t>(
-            waiting_cpu_demand() /
-            m_capacity_meter.effective(static_cast<double>(sum.capacity_cpu_millis)));
+        sum.backlog_ms = static_cast<std::int64_t>(milliseconds_for(
+            waiting_cpu_demand(),
+            m_capacity_meter.effective(static_cast<double>(sum.capacity_cpu_millis))));
     }
     return sum;
 }
--- a/source/core/cell/dispatcher.h
+++ b/source/core/cell/dispatcher.h
@@ -7,24 +7,39 @@
 #include <memory>
 
 #include "absl/container/flat_hash_map.h"
+#include "core/cell/admission.h"
 #include "core/cell/capacity_meter.h"
+#include "core/cell/cell_load.h"
 #include "core/cell/duration_model.h"
 #include "core/cell/executor_manager.h"
-#include "core/cell/fair_admission.h"
+#include "core/cell/executor_speed.h"
+#include "core/cell/interference.h"
 #include "core/cell/job_record.h"
+#include "core/cell/packing.h"
 #include "core/cell/ranking.h"
+#include "core/cell/room_reservation.h"
+#include "core/cell/stopping_runs.h"
+#include "core/cell/task_starter.h"
 
 namespace savorytrail::cell {
 
-// The load that a cell publishes to other entries.
-struct cell_load {
-    std::int64_t capacity_cpu_millis = 0; // of the executors that accept work
-    std::int64_t free_cpu_millis = 0;
-    // The part of it that typical tasks can use: what is free on an executor in whole tasks.
-    std::int64_t usable_cpu_millis = 0;
-    std::int64_t backlog_ms = 0; // time to work off the waiting tasks on all of them
-
-    bool operator==(const cell_load&) const = default;
+// What would become of a job if it were submitted now.
+struct placement_explanation {
+    urgency group = urgency::on_time;
+    double rank_order = 0;         // of jobs of one urgency the lowest goes first
+    common::milliseconds slack{0}; // until its latest start to be on time
+    // Until when the answer is on time, late, and wanted by the caller.
+    common::milliseconds on_time_for{0};
+    common::milliseconds late_for{0};
+    common::milliseconds wanted_for{0};
+    std::size_t jobs_ahead = 0; // that wait and go first
+    admission_view view;
+    job_room room;
+    std::optional<refusal> refused;   // the rest is then as if it were admitted
+    std::optional<int> held_back_for; // a priority level
+    // This process did not run just before, and starts nothing before it has caught up.
+    bool are_starts_paused = false;
+    std::vector<planned_task> tasks; // of the steps that depend on no others
 };
 
 class job_observer {
@@ -32,9 +47,16 @@
     virtual ~job_observer() = default;
     virtual void job_event(const std::string& job, std::string_view event,
                            const std::string& detail) = 0;
+    // For the counters; job_event() reports the refusal itself.
+    virtual void count_refusal(refusal_cause) {}
     // All runs of a job that were open when the job was closed have ended, the last one this long
     // after.
     virtual void runs_stopped(common::milliseconds) {}
+    // A job that was held back for jobs of level `for_priority` has started, or was closed.
+    virtual void hold_ended(int /*for_priority*/, common::milliseconds) {}
+    // Jobs of this level have recently found no free capacity, or no longer.
+    virtual void contention_changed(int /*priority*/, bool /*is_on*/) {}
+    virtual void interference_changed(const pair_change&) {}
 
 protected:
     job_observer() = default;
@@ -57,6 +79,9 @@
     // nothing starts before it is renewed.
     std::uint64_t submit_leased(const work::job& job, common::time_point held_until,
                                 done_callback done);
+    // What submit() would do with the job, by the same code, without changing anything. Takes
+    // copies of the executors' state and of the jobs that go first, so it is for operators only.
+    placement_explanation explain(const work::job& job) const;
     // Extends the lease of a ticket of submit_leased() for this job; never shortens it.
     void renew(const std::string& job, std::uint64_t ticket, common::time_point held_until);
     // Removes the ticket's waiter. A job without waiters is stopped.
@@ -67,12 +92,17 @@
     void tick();
 
     cell_load load() const;
+    executor_speeds& speeds() { return m_speeds; }
+    const executor_speeds& speeds() const { return m_speeds; }
     std::size_t open_jobs() const { return m_jobs.size(); }
+    interference& task_interference() { return m_interference; }
+    const interference& task_interference() const { return m_interference; }
 
     void on_run_ended(const work::run_key& run, const std::string& executor, run_result result,
                       work::order_status status) override;
     void on_suspended() override;
-    void on_run_duration(const work::run_key& run, common::milliseconds took) override;
+    void on_run_duration(const work::run_key& run, const work::executor_info& executor,
+                         common::milliseconds took) override;
     void on_resources_freed() override;
     common::time_point may_run_until(const work::run_key& run) const override;
 
@@ -89,25 +119,50 @@
     // A caller has one attempt at a time. So once a later attempt is known to be live, the earlier
     // ones have ended, even if nothing has shown so, and must not keep the job running.
     void remove_earlier_waiters(job_record& job, std::uint64_t ticket);
-    void start_waiting_tasks(job_record& job);
-    bool start(job_record& job, task_record& task);
     void note_starts(const job_record& job, const std::vector<const task_record*>& started);
+    // `free`: the cell's load without the jobs.
+    void begin_reservation_pass(room_reservation& reservation, const cell_load& free) const;
+    // Whether the job leaves free capacity to more urgent ones; records it.
+    bool is_held_back(job_record& job, common::time_point now);
+    void end_hold(job_record& job);
+    // Whether a waiting task of the job would fit an executor that had nothing to do.
+    bool lacks_only_free_capacity(const job_record& job) const;
+    void note_contention(common::time_point now);
     // Runs of the job end by `runs_end_by` at the latest.
     void close(job_list::iterator job, const work::outcome& outcome,
                common::time_point runs_end_by);
     void close(job_list::iterator job, const work::outcome& outcome);
     // By when the runs of a job that is closed now must have ended.
     common::time_point end_of_runs(const job_record& job) const;
-    void give_up(job_list::iterator job, const std::string& reason);
-    work::outcome given_up_outcome(const job_record& job, const std::string& reason) const;
+    // Closes a job whose waiting tasks can't start here, as all executors that could run them are
+    // in drained domains. Returns whether it was closed.
+    bool leave_drained(job_list::iterator job);
+    void give_up(job_list::iterator job, refusal_cause cause, const std::string& reason);
+    work::outcome given_up_outcome(const job_record& job, refusal_cause cause,
+                                   const std::string& reason) const;
+    std::optional<common::milliseconds> capacity_age() const;
     void stop_runs(const job_record& job, common::time_point runs_end_by);
-    void note_stopped_run(const std::string& job, run_result result);
+    void note_stopped_run(const work::task_id& task, run_result result);
     void on_failure(job_list::iterator job, task_record& task);
-    bool has_stopping_run(const work::task_id& task) const;
-    std::optional<work::outcome> check_admission(const job_record& candidate);
-    void note_task_sizes(const work::job& job);
+    // Whether tasks wait only because too few cores are free, so that the executors' utilization
+    // shows how far they can be used.
+    bool is_waiting_for_cores(const job_record& job) const;
+    // Returns jobs that have not run and that no executor here takes any more: another cell may.
+    void return_stranded_jobs(common::time_point now);
+    admission_view view_for(const job_record& candidate) const;
+    job_room room_of(const job_record& job) const;
+    common::milliseconds retry_after() const;
+    static void note_task_sizes(const work::job& job, double& typical_cpu_millis, packing& values);
+    void note_executors();
+    void note_pace(const work::executor_info& executor, executor_speeds::change change);
+    void note_interference(const std::vector<pair_change>& changes);
     double waiting_cpu_demand() const;
     double effective_capacity() const;
+    cell_load own_load() const; // without the backlog, and with what is held back still free
+    // Whether the job is held back and would fit what is free. Such jobs count as if they ran: only
+    // the reservation keeps them waiting, and neither callers nor other entries are to take the
+    // cell for full. `free_left` is what earlier calls of the same loop have left.
+    bool counts_as_started(const job_record& job, std::optional<double>& free_left) const;
 
     const limits m_limits;
     const common::clock& m_clock;
@@ -115,20 +170,19 @@
     job_observer& m_observer;
     job_list m_jobs;
     absl::flat_hash_map<std::string, job_list::iterator> m_by_id;
-    // Number of runs of closed jobs that have not ended yet, by task. Until they end, the task must
-    // not be started again.
-    absl::flat_hash_map<work::task_id, int> m_stopping_runs;
-    // Closed jobs with such runs, by id.
-    struct stopping_job {
-        common::time_point closed_at; // the first time, if it was sent again and closed again
-        int runs = 0;                 // that have not ended yet
-        int stopped = 0;              // that have ended otherwise than by themselves
-        int done = 0;                 // that have ended by themselves
-    };
-    absl::flat_hash_map<std::string, stopping_job> m_stopping_jobs;
-    fair_admission m_fairness{fair_limits()};
+    stopping_runs m_stopping_runs;
+    duration_model m_durations; // for speed 1
+    executor_speeds m_speeds;
+    std::uint64_t m_known_claims = 0; // version of the executors that m_speeds knows
+    packing m_packing;
+    room_reservation m_reservation;
+    std::vector<int> m_contended_levels; // as last told to the observer
+    interference m_interference;
+    task_starter m_starter{m_limits,    m_clock,  m_executor_manager, m_stopping_runs,
+                           m_durations, m_speeds, m_packing,          m_interference};
+    admission m_admission{fair_limits()};
     capacity_meter m_capacity_meter;
-    duration_model m_durations;
+    common::time_point m_had_capacity_at;
     double m_typical_task_cpu_millis = 0; // of recent jobs; 0 before the first
     std::uint64_t m_next_ticket = 1;
     bool m_is_dispatching = false;
--- a/source/core/cell/executor_manager.cpp
+++ b/source/core/cell/executor_manager.cpp
@@ -18,7 +18,6 @@
 constexpr milliseconds insufficient_resources_delay{60};
 // Interval of reports while runs of earlier holders are being stopped.
 constexpr milliseconds claim_poll_interval{25};
-constexpr std::string_view higher_fence = "another entry has a higher fence";
 
 } // namespace
 
@@ -41,14 +40,22 @@
         if (!slot) {
             slot = std::make_unique<executor_record>(info, m_limits, m_fences());
             slot->is_adopted = adopted.contains(info.id);
+            slot->cold_until = m_clock.now() + info.cold_left;
+            apply_drains(*slot);
             claim(*slot);
             continue;
         }
         if (slot->info.address != info.address) {
             m_orders.forget(slot->info);
         }
+        const bool is_known = slot->info.cold_left == info.cold_left &&
+                              slot->info.start_time_ms == info.start_time_ms;
+        if (!is_known) {
+            slot->cold_until = m_clock.now() + info.cold_left;
+        }
         slot->info = info;
         slot->is_retiring = false;
+        apply_drains(*slot);
         slot->is_adopted = adopted.contains(info.id);
     }
     for (auto& [id, record] : m_executors) {
@@ -59,6 +66,35 @@
     m_listener->on_resources_freed();
 }
 
+void executor_manager::apply_drains(executor_record& it) const {
+    if (m_drains == nullptr) {
+        return;
+    }
+    const auto grace_until = m_drains->grace_until(it.info.failure_domain);
+    it.is_drained = grace_until || !m_drains->is_known();
+    it.drain_grace_until = grace_until.value_or(common::time_point::min());
+}
+
+void executor_manager::on_drains_changed() {
+    for (auto& [id, record] : m_executors) {
+        apply_drains(*record);
+    }
+    m_listener->on_resources_freed();
+}
+
+bool executor_manager::has_drained() const {
+    return std::any_of(m_executors.begin(), m_executors.end(),
+                       [](const auto& it) { return it.second->is_drained; });
+}
+
+std::size_t executor_manager::drained_runs() const {
+    std::size_t sum = 0;
+    for (const auto& [id, it] : m_executors) {
+        sum += it->is_drained ? it->runs.size() : 0;
+    }
+    return sum;
+}
+
 std::vector<std::string> executor_manager::held() const {
     std::vector<std::string> list;
     for (const auto& [id, record] : m_executors) {
@@ -169,18 +205,23 @@
     request_report(it, it.runs.empty() ? m_limits.idle_report_wait : m_limits.report_wait);
 }
 
+bool executor_manager::can_start_runs() const {
+    return !was_suspended() && !m_stalls.is_catching_up();
+}
+
 bool executor_manager::start(const std::string& executor, const work::run_key& run,
                              work::resources occupied, milliseconds time_limit,
-                             const std::string& payload) {
+                             const std::string& payload, milliseconds expected) {
     auto* it = find(executor);
-    if (it == nullptr || was_suspended() || m_stalls.is_catching_up() ||
-        !it->accepts_work(m_clock.now()) || !it->free().covers(occupied)) {
+    if (it == nullptr || !can_start_runs() || !it->accepts_work(m_clock.now()) ||
+        !it->free().covers(occupied)) {
         return false;
     }
     run_record record;
     record.occupied = occupied;
     record.payload = payload;
     record.time_limit = time_limit;
+    record.expected = expected;
     record.started_at = m_clock.now();
     const auto left = std::chrono::duration_cast<milliseconds>(
         std::min(m_listener->may_run_until(run), m_clock.now() + m_limits.longest_lease) -
@@ -269,6 +310,30 @@
     }
 }
 
+void executor_manager::note_pace(const std::string& executor, executor_speeds::change change) {
+    auto* it = find(executor);
+    if (it == nullptr) {
+        return;
+    }
+    switch (change) {
+    case executor_speeds::change::turned_slow:
+        m_observer.executor_changed(executor, "executor_slowed",
+                                    "runs of several jobs took far longer than usual there");
+        break;
+    case executor_speeds::change::speed_regained:
+        m_observer.executor_changed(executor, "executor_speed_regained",
+                                    "a run took as long as usual there");
+        return;
+    case executor_speeds::change::speed_accepted:
+        m_observer.executor_changed(executor, "executor_speed_accepted",
+                                    "it was slow for so many runs that its speed is learnt anew");
+        return;
+    case executor_speeds::change::none:
+        break;
+    }
+    it->health.put_on_probation();
+}
+
 void executor_manager::finish_run(executor_record& it, const work::run_key& key, run_result result,
                                   order_status status) {
     const auto found = it.runs.find(key);
@@ -279,7 +344,7 @@
     if (result == run_result::done && run.state == run_state::running) {
         it.health.note_success();
         m_listener->on_run_duration(
-            key, std::chrono::duration_cast<milliseconds>(m_clock.now() - run.started_at));
+            key, it.info, std::chrono::duration_cast<milliseconds>(m_clock.now() - run.started_at));
     }
     it.used -= run.occupied;
     it.runs.erase(found);
@@ -325,7 +390,8 @@
         return;
     case order_status::no_answer:
         if (record.state == run_state::starting && is_only_copy && !it->is_unresponsive() &&
-            !was_suspended() && !m_stalls.is_catching_up() && it->state == claim_state::held) {
+            !was_suspended() && !m_stalls.is_catching_up() && it->state == claim_state::held &&
+            !it->is_drained) {
             resend_start(*it, run, record);
         } else if (record.state == run_state::starting) {
             send_stop(*it, run, record);
@@ -373,148 +439,6 @@
     }
 }
 
-void executor_manager::on_report(const std::string& executor, std::uint64_t number,
-                                 order_status status, const work::run_report& report) {
-    auto* it = find(executor);
-    if (it == nullptr) {
-        return;
-    }
-    const auto pending = std::find_if(it->pending_reports.begin(), it->pending_reports.end(),
-                                      [&](const auto& p) { return p.number == number; });
-    if (pending == it->pending_reports.end()) {
-        return;
-    }
-    const pending_report request = *pending;
-    it->pending_reports.erase(pending);
-    if (status != work::order_status::accepted) {
-        on_report_failure(*it, status);
-        return;
-    }
-    if (it->missed_reports > 0) {
-        m_observer.executor_changed(executor, "executor_answers",
-                                    "a report arrived after missed ones");
-    }
-    it->missed_reports = 0;
-    apply_report(*it, request, report);
-    request_next_report(*it);
-    m_listener->on_resources_freed();
-}
-
-void executor_manager::on_report_failure(executor_record& it, order_status status) {
-    const auto now = m_clock.now();
-    it.next_report_request =
-        now + (it.missed_reports == 0 ? milliseconds(0) : m_limits.unresponsive_retry);
-    switch (status) {
-    case work::order_status::fenced:
-        if (it.state == claim_state::claiming) {
-            it.fence = m_fences();
-            it.next_report_request = now + m_limits.unresponsive_retry;
-        } else {
-            lose_claim(it, higher_fence);
-        }
-        return;
-    case work::order_status::wrong_executor:
-        // The process that executed the runs has exited.
-        finish_all_runs(it, run_result::lost);
-        it.next_report_request = now + m_limits.unresponsive_retry;
-        it.missed_reports++;
-        return;
-    default:
-        break;
-    }
-    it.missed_reports++;
-    if (it.missed_reports == 1) {
-        m_observer.executor_changed(it.info.id, "executor_silent",
-                                    "a report did not arrive in time");
-        request_next_report(it);
-    }
-}
-
-void executor_manager::apply_report(executor_record& it, const pending_report& request,
-                                    const work::run_report& report) {
-    const auto now = m_clock.now();
-    if (report.start_time_ms != 0 && it.start_time_ms != 0 &&
-        report.start_time_ms != it.start_time_ms) {
-        m_observer.executor_changed(it.info.id, "executor_reborn", "the executor restarted");
-        it.clock.reset();
-        it.acknowledged = 0;
-        // Orders in flight may have reached the new process, with leases by the old clock; the
-        // executor grants them at most its longest lease.
-        it.lease_until = report.clock_ms + m_limits.longest_lease.count();
-    }
-    if (report.start_time_ms != 0) {
-        it.start_time_ms = report.start_time_ms;
-    }
-    it.is_grant_confirmed = it.is_grant_confirmed || request.sent_at >= it.granted_at;
-    it.clock.observe(report.clock_ms, now);
-    if (it.state == claim_state::claiming && it.is_adopted && !report.running.empty()) {
-        // Runs are still being renewed: the previous holder is alive, and will claim it back.
-        lose_claim(it, "it was taken for left, but is in use");
-        return;
-    }
-    apply_ended_runs(it, report);
-    apply_running_runs(it, request, report);
-    if (it.state == claim_state::claiming && it.foreign_runs.empty()) {
-        set_state(it, claim_state::held);
-        m_observer.executor_changed(it.info.id, "executor_held",
-                                    "no runs of other holders are left there");
-    }
-}
-
-void executor_manager::apply_ended_runs(executor_record& it, const work::run_report& report) {
-    for (const auto& end : report.ended) {
-        if (end.sequence <= it.acknowledged) {
-            continue;
-        }
-        it.acknowledged = end.sequence;
-        switch (end.kind) {
-        case work::run_end::done:
-            finish_run(it, end.run, run_result::done);
-            break;
-        case work::run_end::failed:
-            finish_run(it, end.run, run_result::failed);
-            break;
-        default:
-            finish_run(it, end.run, run_result::lost);
-            break;
-        }
-    }
-}
-
-void executor_manager::apply_running_runs(executor_record& it, const pending_report& request,
-                                          const work::run_report& report) {
-    const auto now = m_clock.now();
-    const std::set<work::run_key> running(report.running.begin(), report.running.end());
-    it.foreign_runs.clear();
-    for (const auto& key : running) {
-        if (const auto found = it.runs.find(key); found == it.runs.end()) {
-            it.foreign_runs.insert(key);
-        } else if (found->second.state == run_state::starting) {
-            found->second.state = run_state::running;
-            found->second.confirmed_at = now;
-        }
-    }
-    std::vector<work::run_key> vanished;
-    for (const auto& [key, run] : it.runs) {
-        if (running.contains(key)) {
-            continue;
-        }
-        const bool was_running =
-            run.state == run_state::running && run.confirmed_at < request.sent_at;
-        const bool was_stopped =
-            run.stop_acknowledged_at && *run.stop_acknowledged_at < request.sent_at;
-        if (was_running || was_stopped) {
-            vanished.push_back(key);
-        }
-    }
-    for (const auto& key : vanished) {
-        finish_run(it, key, run_result::lost);
-    }
-    for (const auto& key : it.foreign_runs) {
-        m_orders.stop(it.info, {key, it.fence});
-    }
-}
-
 void executor_manager::renew_if_due(executor_record& it) {
     if (!it.has_ongoing_run() || it.state != claim_state::held || it.is_unresponsive() ||
         !it.foreign_runs.empty()) {
--- a/source/core/cell/executor_manager.h
+++ b/source/core/cell/executor_manager.h
@@ -18,9 +18,11 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "core/cell/executor_record.h"
+#include "core/cell/executor_speed.h"
 #include "core/cell/orders.h"
 #include "core/common/error.h"
 #include "core/common/stall_detector.h"
+#include "core/fleet/drained_domains.h"
 
 namespace savorytrail::cell {
 
@@ -40,7 +42,8 @@
     // This VM was suspended or stalled: callers may have disconnected meanwhile.
     virtual void on_suspended() = 0;
     // A run succeeded after the given duration; called before on_run_ended().
-    virtual void on_run_duration(const work::run_key& run, common::milliseconds took) = 0;
+    virtual void on_run_duration(const work::run_key& run, const work::executor_info& executor,
+                                 common::milliseconds took) = 0;
     // Executors may have free resources again.
     virtual void on_resources_freed() = 0;
     // Until when a run that was not told to stop may go on, as far as is known now.
@@ -75,6 +78,14 @@
     executor_manager& operator=(const executor_manager&) = delete;
 
     void set_listener(run_listener* listener) { m_listener = listener; }
+    // Nothing starts before it is known which failure domains are drained.
+    void set_drains(const fleet::drained_domains& drains) { m_drains = &drains; }
+    // To be called after each change of the drained domains.
+    void on_drains_changed();
+    // Whether any executor is in a drained domain.
+    bool has_drained() const;
+    // Runs on executors of drained domains.
+    std::size_t drained_runs() const;
 
     // Sets the executors that this entry is to hold; `adopted` are those among them that their
     // holders are assumed to have abandoned. Other executors are released when their runs end.
@@ -82,17 +93,22 @@
                 const std::set<std::string>& adopted = {});
     // The executors whose claim has succeeded; another entry must not claim them yet.
     std::vector<std::string> held() const;
+    // False just after this process did not run: messages that wait are processed first.
+    bool can_start_runs() const;
     // Changes whenever an executor is added, removed or changes its claim state.
     std::uint64_t claims_version() const { return m_claims_version; }
     // How long what this process learns now may have waited.
     common::milliseconds longest_wait() const { return m_stalls.longest_wait(); }
 
     bool start(const std::string& executor, const work::run_key& run, work::resources occupied,
-               common::milliseconds time_limit, const std::string& payload);
+               common::milliseconds time_limit, const std::string& payload,
+               common::milliseconds expected = common::milliseconds(0));
     // Stops the run; whether or not the order is carried out, it ends by `ends_by`, or by the end
     // of the lease that it has.
     void stop(const std::string& executor, const work::run_key& run, common::time_point ends_by);
     void note_failure(const std::string& executor, bool is_first);
+    // A run took far longer than usual there, or as long as usual again.
+    void note_pace(const std::string& executor, executor_speeds::change change);
 
     void on_start_reply(const std::string& executor, const work::run_key& run,
                         const work::order_reply& reply);
@@ -104,14 +120,15 @@
     // Sends due requests and handles timeouts; call about every 50 ms.
     void tick();
 
-    const std::map<std::string, std::unique_ptr<executor_record>>& executors() const {
-        return m_executors;
-    }
+    const executor_map& executors() const { return m_executors; }
 
 private:
     using record_map = std::map<std::string, std::unique_ptr<executor_record>>;
 
+    static constexpr std::string_view higher_fence = "another entry has a higher fence";
+
     executor_record* find(const std::string& executor);
+    void apply_drains(executor_record& it) const;
     void set_state(executor_record& it, claim_state state);
     void claim(executor_record& it);
     void lose_claim(executor_record& it, std::string_view reason);
@@ -149,6 +166,7 @@
     const fence_source m_fences;
     executor_observer& m_observer;
     run_listener* m_listener = nullptr;
+    const fleet::drained_domains* m_drains = nullptr; // null: none ever is
     record_map m_executors;
     std::uint64_t m_claims_version = 1;
     std::uint64_t m_next_report = 1;
--- a/source/core/cell/executor_record.h
+++ b/source/core/cell/executor_record.h
@@ -4,7 +4,9 @@
 
 #include <algorithm>
 #include <map>
+#include <memory>
 #include <set>
+#include <string>
 #include <vector>
 
 #include "core/cell/executor_clock.h"
@@ -23,6 +25,7 @@
     work::resources occupied;
     std::string payload;
     common::milliseconds time_limit{0}; // a run that takes longer is considered stuck
+    common::milliseconds expected{0};   // duration on this executor; 0 when unknown
     run_state state = run_state::starting;
     common::time_point started_at;
     int starts_sent = 1;                                  // 2 after a resend
@@ -47,6 +50,20 @@
     common::milliseconds wait{0};
 };
 
+// Why an executor takes no new run, whatever the task.
+enum class work_obstacle : std::uint8_t {
+    none,
+    not_claimed,
+    retiring,     // released by this entry, or its platform removes it
+    unresponsive, // reports are missing, or none has arrived yet
+    rejected_start,
+    foreign_runs, // runs of other holders
+    quarantined,
+    on_probation, // takes one run at a time, and has one
+    overdue_run,
+    lease_ends, // a run there has to end by the expiry of the lease
+};
+
 struct executor_record {
     executor_record(work::executor_info its_info, const limits& by, std::int64_t its_fence)
         : info(std::move(its_info)), fence(its_fence), health(by),
@@ -58,8 +75,11 @@
     common::milliseconds min_lease_of_start; // nothing starts on a lease that must end sooner
     claim_state state = claim_state::claiming;
     bool is_retiring = false; // gets no new runs; released when its runs have ended
-    bool is_adopted = false;  // claimed on the assumption that its holder has abandoned it
-    int times_lost = 0;       // claims lost in a row, each soon after the last
+    bool is_drained = false;  // as is its failure domain: takes no job that has not begun
+    common::time_point drain_grace_until; // until when jobs that have begun may start tasks there
+    common::time_point cold_until;        // until when it is slow after a start
+    bool is_adopted = false; // claimed on the assumption that its holder has abandoned it
+    int times_lost = 0;      // claims lost in a row, each soon after the last
     executor_clock clock;
     std::int64_t start_time_ms = 0; // of the executor process that sent the latest report
     std::int64_t acknowledged = 0;  // sequence number of the latest ended run that was processed
@@ -77,8 +97,17 @@
     common::time_point lost_at;                   // latest
     common::time_point resources_exhausted_until; // no starts until then, after a rejection
     int missed_reports = 0;                       // in a row
+    // When the latest report arrived.
+    std::optional<common::time_point> reported_at;
 
     work::resources free() const { return info.capacity - used; }
+    bool is_cold(common::time_point now) const { return now < cold_until; }
+    // Whether this entry is to use it on.
+    bool is_kept() const { return !is_retiring && state != claim_state::lost; }
+    // Whether jobs that have begun in its drained failure domain may still start tasks there.
+    bool is_in_drain_grace(common::time_point now) const {
+        return is_drained && now < drain_grace_until;
+    }
     // While reports are missing, no lease is renewed and nothing is started.
     bool is_unresponsive() const { return missed_reports > 0; }
     bool has_overdue_run(common::time_point now) const {
@@ -100,12 +129,38 @@
             return it.second.ends_by && *it.second.ends_by < time;
         });
     }
+    work_obstacle obstacle_to_work(common::time_point now) const {
+        if (state != claim_state::held) {
+            return work_obstacle::not_claimed;
+        }
+        if (is_retiring || info.is_draining) {
+            return work_obstacle::retiring;
+        }
+        if (is_unresponsive() || !clock.is_known()) {
+            return work_obstacle::unresponsive;
+        }
+        if (now < resources_exhausted_until) {
+            return work_obstacle::rejected_start;
+        }
+        if (!foreign_runs.empty()) {
+            return work_obstacle::foreign_runs;
+        }
+        if (!health.admits(runs.size(), now)) {
+            return health.is_quarantined(now) ? work_obstacle::quarantined
+                                              : work_obstacle::on_probation;
+        }
+        if (has_overdue_run(now)) {
+            return work_obstacle::overdue_run;
+        }
+        return has_run_ending_by(now + min_lease_of_start) ? work_obstacle::lease_ends
+                                                           : work_obstacle::none;
+    }
     bool accepts_work(common::time_point now) const {
-        return state == claim_state::held && !is_retiring && !info.is_draining &&
-               !is_unresponsive() && clock.is_known() && now >= resources_exhausted_until &&
-               foreign_runs.empty() && health.admits(runs.size(), now) && !has_overdue_run(now) &&
-               !has_run_ending_by(now + min_lease_of_start);
+        return obstacle_to_work(now) == work_obstacle::none;
     }
 };
 
+// By id.
+using executor_map = std::map<std::string, std::unique_ptr<executor_record>>;
+
 } // namespace savorytrail::cell
--- a/source/core/gateway/gateway.cpp
+++ b/source/core/gateway/gateway.cpp
@@ -9,24 +9,17 @@
 
 using common::milliseconds;
 
-// Number of dispatchers that a job is offered to before it is refused.
-constexpr std::size_t max_offers = 3;
 // Subtracted from the caller's patience for the return of the outcome from another entry.
 constexpr milliseconds return_time{15};
-constexpr milliseconds retry_after{1000};
 // A failure domain without a dispatcher gets a new one within about this time.
 constexpr milliseconds max_wait_for_dispatcher{1500};
+// After so many cells without executors that take work, a job waits for the next tick.
+constexpr std::size_t max_cells_without_executors = 3;
+// A cell that refused a job is not asked again sooner: a typical task has ended there by then.
+constexpr milliseconds min_time_to_ask_again{100};
 // An answer that takes longer than this many times the objective has no value.
 constexpr int max_lateness_factor = 3;
 
-std::int64_t total_cpu_millis(const work::job& job) {
-    std::int64_t sum = 0;
-    for (const auto& step : job.steps) {
-        sum += step.tasks * step.task_resources.cpu_millis;
-    }
-    return sum;
-}
-
 } // namespace
 
 gateway::gateway(const common::clock& clock, const common::stall_detector& stalls,
@@ -53,7 +46,7 @@
     return ticket;
 }
 
-std::vector<target> gateway::targets(const std::set<std::string>& tried) const {
+std::vector<target> gateway::targets(const std::map<std::string, common::time_point>& tried) const {
     const auto now = m_clock.now();
     const auto& self = m_view.self();
     std::vector<target> list;
@@ -65,31 +58,69 @@
     for (const auto* it : m_view.live_peers(now)) {
         // A stopping dispatcher reports the capacity that it still accepts jobs for.
         const auto& name = it->identity.name;
-        if (it->status.load.capacity_cpu_millis <= 0 || tried.contains(name)) {
+        if (it->status.load.capacity_cpu_millis <= 0 || tried.contains(name) || is_drained(*it)) {
             continue;
         }
         const auto sent = m_sent_since_heartbeat.find(name);
         list.push_back({name, it->identity.failure_domain == self.failure_domain, it->status.load,
-                        sent == m_sent_since_heartbeat.end() ? 0 : sent->second});
+                        sent == m_sent_since_heartbeat.end() ? 0 : sent->second.total});
     }
     return list;
 }
 
+gateway_explanation gateway::explain(work::job job) const {
+    const auto waited = m_stalls.longest_wait();
+    job.waited += waited;
+    job.patience -= waited;
+    gateway_explanation result;
+    const auto list = targets({});
+    const auto rated = rate_targets(job, list);
+    for (std::size_t i = 0; i < list.size(); i++) {
+        std::optional<milliseconds> age;
+        const auto* peer = m_view.find(list[i].name);
+        if (list[i].name != m_view.self().name && peer != nullptr && peer->last_sign) {
+            age = std::chrono::duration_cast<milliseconds>(m_clock.now() - *peer->last_sign);
+        }
+        result.candidates.push_back({list[i], age, rated[i]});
+    }
+    result.are_all_drained = are_all_drained();
+    result.is_out_of_time = job.patience <= return_time;
+    result.own = m_own.explain(job);
+    return result;
+}
+
+bool gateway::is_drained(const fleet::peer& it) const {
+    // It may not have learnt of the drain yet, or follow none in an earlier version. What it offers
+    // besides are executors that it has adopted from other domains.
+    return m_drains != nullptr && m_drains->is_drained(it.identity.failure_domain) &&
+           it.status.adopted.empty();
+}
+
+bool gateway::are_all_drained() const {
+    if (m_drains == nullptr || m_drains->count() == 0) {
+        return false;
+    }
+    const auto& domains =
+        m_executor_domains.empty() ? m_view.live_domains(m_clock.now()) : m_executor_domains;
+    return std::all_of(domains.begin(), domains.end(),
+                       [this](const std::string& it) { return m_drains->is_drained(it); });
+}
+
 void gateway::place(std::uint64_t ticket) {
     auto& open = m_open.at(ticket);
-    const auto list = targets(open.tried);
+    const auto list = targets_left(open);
     const auto best = choose_target(open.job, list, m_random);
     if (!best) {
         wait_or_refuse(ticket);
         return;
     }
     open.target = list[*best].name;
-    open.tried.insert(open.target);
+    open.tried[open.target] = m_clock.now();
     const auto now = m_clock.now();
     const auto left = std::chrono::duration_cast<milliseconds>(open.give_up_at - now);
     open.job.waited = std::chrono::duration_cast<milliseconds>(now - open.first_sent);
     if (left <= return_time) {
-        refuse(ticket, "its caller's patience ends");
+        refuse(ticket, cell::refusal_cause::patience, "its caller's patience ends");
         return;
     }
     open.job.patience = left;
@@ -106,12 +137,19 @@
     forward(ticket, *m_view.find(open.target));
 }
 
-void gateway::refuse(std::uint64_t ticket, const std::string& reason) {
-    m_observer.job_event(m_open.at(ticket).job.id, "job_refused", reason);
-    finish(ticket, {work::job_end::not_run, reason, retry_after, false});
+void gateway::refuse(std::uint64_t ticket, cell::refusal_cause cause, const std::string& reason) {
+    m_observer.job_event(m_open.at(ticket).job.id, "job_refused",
+                         reason + "; " + describe_targets(targets({})));
+    m_observer.count_refusal(cause);
+    finish(ticket, {work::job_end::not_run, reason, retry_after(), false});
 }
 
 void gateway::wait_or_refuse(std::uint64_t ticket) {
+    if (are_all_drained()) {
+        refuse(ticket, cell::refusal_cause::no_executors,
+               "every failure domain with executors is drained");
+        return;
+    }
     const auto& open = m_open.at(ticket);
     const auto end = m_clock.now() + open.job.critical_path_length();
     const bool is_worth_waiting =
@@ -119,7 +157,7 @@
         end < open.first_sent + max_lateness_factor * open.job.objective() &&
         m_clock.now() - open.arrived < max_wait_for_dispatcher;
     if (!open.tried.empty() || !is_worth_waiting) {
-        refuse(ticket, "no dispatcher can be reached");
+        refuse(ticket, cell::refusal_cause::no_dispatcher, "no dispatcher can be reached");
         return;
     }
     m_waiting.insert(ticket);
@@ -135,7 +173,7 @@
     for (const auto ticket : earlier) {
         const auto done = m_open.at(ticket).done;
         abandon(ticket);
-        done({work::job_end::given_up, "its caller has sent it again", retry_after});
+        done({work::job_end::given_up, "its caller has sent it again", retry_after()});
     }
 }
 
@@ -175,10 +213,12 @@
     auto& open = m_open.at(ticket);
     const auto& name = to.identity.name;
     m_view.note_in_use(name, m_clock.now());
-    m_sent_since_heartbeat[name] += total_cpu_millis(open.job);
     m_observer.job_event(open.job.id, "job_passed", name);
     open.forward_number = m_next_forward++;
     m_forwards[open.forward_number] = ticket;
+    auto& sent = m_sent_since_heartbeat[name];
+    sent.by_forward[open.forward_number] = first_tasks_cpu_millis(open.job);
+    sent.total += first_tasks_cpu_millis(open.job);
     passed_job message{open.job, m_view.self().name, open.forward_number, m_view.self().incarnation,
                        std::nullopt};
     if (const auto stamp = m_last_stamps.find(name); stamp != m_last_stamps.end()) {
@@ -220,19 +260,123 @@
     if (it == m_open.end()) {
         return;
     }
+    const auto forward_number = it->second.forward_number;
     end_forward(it->second);
-    const bool is_refused = outcome.end == work::job_end::not_run;
-    if (is_refused && it->second.tried.size() < max_offers && !targets(it->second.tried).empty() &&
-        m_clock.now() < it->second.give_up_at) {
+    if (outcome.end != work::job_end::not_run) {
+        finish(ticket, outcome);
+        return;
+    }
+    return_room(it->second.target, forward_number);
+    on_refused(ticket, outcome);
+}
+
+void gateway::on_refused(std::uint64_t ticket, const work::outcome& outcome) {
+    auto& open = m_open.at(ticket);
+    if (!outcome.lacked_executors) {
+        open.job.earlier_offers++;
+        open.retry_after = std::min(open.retry_after.value_or(cell::max_retry_after),
+                                    std::max(outcome.retry_after, cell::min_retry_after));
+        forget_old_refusals(open);
+        open.tried[open.target] = m_clock.now();
+    }
+    const bool may_be_offered =
+        !outcome.lacked_executors || open.tried.size() < max_cells_without_executors;
+    if (may_be_offered && m_clock.now() < open.give_up_at && !targets_left(open).empty()) {
         place(ticket);
         return;
     }
-    if (is_refused && outcome.lacked_executors) {
-        it->second.tried.clear();
+    if (open.job.earlier_offers == 0) { // all that were asked lacked executors
+        open.tried.clear();
         wait_or_refuse(ticket);
         return;
     }
-    finish(ticket, outcome);
+    note_not_offered_further(open);
+    auto last = outcome;
+    last.retry_after = open.retry_after.value_or(cell::min_retry_after);
+    finish(ticket, last);
+}
+
+void gateway::forget_old_refusals(open_job& it) const {
+    const auto now = m_clock.now();
+    std::erase_if(it.tried, [&](const auto& tried) {
+        const auto& [name, at] = tried;
+        if (now - at < min_time_to_ask_again) {
+            return false;
+        }
+        const auto* peer = m_view.find(name); // nullptr for this entry, whose load is always known
+        return peer == nullptr || (peer->last_sign && *peer->last_sign > at);
+    });
+}
+
+void gateway::note_not_offered_further(const open_job& it) const {
+    const auto left = targets(it.tried);
+    if (left.empty()) {
+        return;
+    }
+    m_observer.job_event(it.job.id, "job_refused",
+                         "no other cell is of use to it; " + describe_targets(left));
+    m_observer.count_refusal(cell::refusal_cause::no_cell);
+}
+
+std::string gateway::describe_targets(const std::vector<target>& list) const {
+    if (list.empty()) {
+        return "no cell has executors";
+    }
+    const auto free_of = [](const target& it) {
+        return it.load.free_cpu_millis - it.sent_since_heartbeat;
+    };
+    auto least_backlog = list.front().load.backlog_ms;
+    auto most_free = free_of(list.front());
+    milliseconds oldest{0};
+    for (const auto& it : list) {
+        least_backlog = std::min(least_backlog, it.load.backlog_ms);
+        most_free = std::max(most_free, free_of(it));
+        if (const auto* peer = m_view.find(it.name); peer != nullptr && peer->last_sign) {
+            oldest = std::max(
+                oldest, std::chrono::duration_cast<milliseconds>(m_clock.now() - *peer->last_sign));
+        }
+    }
+    return std::to_string(list.size()) + " cells, least backlog " + std::to_string(least_backlog) +
+           " ms, at most " + std::to_string(most_free / 1000) +
+           " cores usable in one, by heartbeats up to " + std::to_string(oldest.count()) +
+           " ms old";
+}
+
+void gateway::return_room(const std::string& entry, std::uint64_t forward_number) {
+    const auto sent = m_sent_since_heartbeat.find(entry);
+    if (sent == m_sent_since_heartbeat.end()) {
+        return; // a heartbeat has come since
+    }
+    if (const auto it = sent->second.by_forward.find(forward_number);
+        it != sent->second.by_forward.end()) {
+        sent->second.total -= it->second;
+        sent->second.by_forward.erase(it);
+    }
+}
+
+std::vector<target> gateway::targets_left(const open_job& it) const {
+    const auto list = targets(it.tried);
+    return it.job.earlier_offers == 0
+               ? list
+               : targets_after_refusal(it.job, list, slack_of(it), it.job.earlier_offers);
+}
+
+job_slack gateway::slack_of(const open_job& it) const {
+    const auto start = m_clock.now() + it.job.critical_path_length();
+    const auto objective = it.job.objective();
+    const auto until = [start](common::time_point end) {
+        return std::chrono::duration_cast<milliseconds>(end - start);
+    };
+    return {until(std::min(it.first_sent + objective, it.give_up_at)),
+            until(std::min(it.first_sent + max_lateness_factor * objective, it.give_up_at))};
+}
+
+milliseconds gateway::retry_after() const {
+    std::optional<std::int64_t> least;
+    for (const auto& it : targets({})) {
+        least = std::min(least.value_or(it.load.backlog_ms), it.load.backlog_ms);
+    }
+    return cell::retry_after_for(static_cast<double>(least.value_or(0)));
 }
 
 void gateway::on_forwarding_failed(std::uint64_t ticket, std::error_code ec) {
@@ -254,7 +398,7 @@
     if (const auto* to = m_view.find(it->second.target)) {
         m_client.abandon(to->address, {it->second.job.id, m_view.self().name, forward_number});
     }
-    finish(ticket, {work::job_end::given_up, "the way to its dispatcher broke", retry_after});
+    finish(ticket, {work::job_end::given_up, "the way to its dispatcher broke", retry_after()});
 }
 
 void gateway::on_entry_lost(const std::string& name) {
--- a/source/core/gateway/gateway.h
+++ b/source/core/gateway/gateway.h
@@ -11,6 +11,7 @@
 #include "core/cell/dispatcher.h"
 #include "core/common/error.h"
 #include "core/common/stall_detector.h"
+#include "core/fleet/drained_domains.h"
 #include "core/fleet/view.h"
 #include "core/gateway/forwarding_codec.h"
 #include "core/gateway/target_choice.h"
@@ -36,15 +37,38 @@
     forwarding_client& operator=(const forwarding_client&) = default;
 };
 
+// Where the gateway would send a job now.
+struct gateway_explanation {
+    struct candidate {
+        target cell;
+        std::optional<common::milliseconds> age; // of the load; nullopt for the own cell
+        rated_target rating;
+    };
+
+    std::vector<candidate> candidates;
+    bool are_all_drained = false;
+    bool is_out_of_time = false;     // the caller's patience ends
+    cell::placement_explanation own; // what the own cell would do with the job
+};
+
 class gateway {
 public:
     gateway(const common::clock& clock, const common::stall_detector& stalls, fleet::view& view,
             cell::dispatcher& own, forwarding_client& client, cell::job_observer& observer,
             common::random_source& random);
 
+    // Jobs go to no dispatcher of a drained domain.
+    void set_drains(const fleet::drained_domains& drains) { m_drains = &drains; }
+    // The failure domains that have executors. Empty if not known: then those with live entries.
+    void set_executor_domains(std::set<std::string> domains) {
+        m_executor_domains = std::move(domains);
+    }
+
     // `done` is called once, possibly before this returns, unless the ticket is abandoned.
     std::uint64_t submit(work::job job, cell::done_callback done);
     void abandon(std::uint64_t ticket);
+    // What submit() would do with the job, without changing anything.
+    gateway_explanation explain(work::job job) const;
 
     // To be called about every 50 ms: keeps the links to the dispatchers of open jobs, and retries
     // jobs that found no dispatcher.
@@ -68,14 +92,36 @@
         common::time_point give_up_at;
         cell::done_callback done;
         std::string target; // name of an entry; this entry's own for the local dispatcher
-        std::set<std::string> tried;
+        std::map<std::string, common::time_point> tried; // when it was offered, or refused there
+        // Shortest of those that cells have refused it with.
+        std::optional<common::milliseconds> retry_after;
         std::uint64_t own_ticket = 0;
         std::uint64_t forward_number = 0; // 0 while it is not forwarded
         forwarding_client::canceller cancel;
     };
 
-    std::vector<target> targets(const std::set<std::string>& tried) const;
+    // First tasks of jobs that were forwarded and not refused, in thousandths of a core.
+    struct sent_work {
+        std::int64_t total = 0;
+        std::map<std::uint64_t, std::int64_t> by_forward;
+    };
+
+    bool is_drained(const fleet::peer& it) const;
+    // Whether no domain with executors is left to place a job in.
+    bool are_all_drained() const;
+    std::vector<target> targets(const std::map<std::string, common::time_point>& tried) const;
+    std::vector<target> targets_left(const open_job& it) const;
+    job_slack slack_of(const open_job& it) const;
+    // When the least busy cell will have done the work that waits there.
+    common::milliseconds retry_after() const;
     void place(std::uint64_t ticket);
+    // Cells that refused the job before, and whose load is known from a later time, may be asked
+    // again.
+    void forget_old_refusals(open_job& it) const;
+    void on_refused(std::uint64_t ticket, const work::outcome& outcome);
+    void note_not_offered_further(const open_job& it) const;
+    // The room that was counted for a forward is free, as its job was refused.
+    void return_room(const std::string& entry, std::uint64_t forward_number);
     void forward(std::uint64_t ticket, const fleet::peer& to);
     bool is_held_for(const std::string& dispatcher, std::uint64_t forward_number) const;
     void end_forward(open_job& it);
@@ -85,7 +131,9 @@
     // Callers' patience ran on while the VM was suspended.
     void count_suspension();
     void wait_or_refuse(std::uint64_t ticket);
-    void refuse(std::uint64_t ticket, const std::string& reason);
+    void refuse(std::uint64_t ticket, cell::refusal_cause cause, const std::string& reason);
+    // For the log: what the cells that the job was not offered to have told, and when.
+    std::string describe_targets(const std::vector<target>& list) const;
     void on_outcome(std::uint64_t ticket, const work::outcome& outcome);
     void on_forwarding_failed(std::uint64_t ticket, std::error_code ec);
     void finish(std::uint64_t ticket, const work::outcome& outcome);
@@ -98,12 +146,14 @@
     forwarding_client& m_client;
     cell::job_observer& m_observer;
     common::random_source& m_random;
+    const fleet::drained_domains* m_drains = nullptr; // null: none ever is
+    std::set<std::string> m_executor_domains;
     std::map<std::uint64_t, open_job> m_open;
     std::set<std::uint64_t> m_waiting; // tickets of jobs that found no dispatcher
-    std::map<std::string, std::int64_t> m_sent_since_heartbeat; // thousandths of a core, by entry
-    std::map<std::uint64_t, std::uint64_t> m_forwards;          // tickets, by number of the forward
-    std::map<std::string, lease_stamp> m_last_stamps;           // by dispatcher
-    common::milliseconds m_suspended;                           // total at the last tick
+    std::map<std::string, sent_work> m_sent_since_heartbeat; // by entry
+    std::map<std::uint64_t, std::uint64_t> m_forwards;       // tickets, by number of the forward
+    std::map<std::string, lease_stamp> m_last_stamps;        // by dispatcher
+    common::milliseconds m_suspended;                        // total at the last tick
     std::uint64_t m_next_ticket = 1;
     std::uint64_t m_next_forward = 1;
 };
--- a/source/core/work/job.h
+++ b/source/core/work/job.h
@@ -23,6 +23,7 @@
     std::string required_label;       // an executor must have it; empty: any
     std::string preferred_rack;       // where its data is; elsewhere it takes longer; empty: none
     int max_per_executor = 0;         // 0: no limit
+    std::string image;                // what the tasks run; tasks of one image behave alike
 
     bool operator==(const step&) const = default;
 };
@@ -46,18 +47,29 @@
     queue_settings queue;
     common::milliseconds patience{0}; // how long the caller still waits for the answer
     common::milliseconds waited{0};   // lower bound of the time since the caller first sent it
+    int earlier_offers = 0;           // of this request, that cells have refused
 
     bool operator==(const job&) const = default;
 
     int tasks() const;
     // The sum of estimates along the longest path through the steps.
     common::milliseconds critical_path_length() const;
+    // The sum of estimates along the longest path through the steps that depend on the given one.
+    common::milliseconds path_length_after(int step) const;
     // The longest latency, counted from the first send, at which the answer is still on time.
     common::milliseconds objective() const;
     // Estimated CPU time of all tasks, in thousandths of a core times milliseconds.
     double cpu_demand() const;
 };
 
+// A longer estimate or wait says no more than this one, and would overflow times that are added up.
+constexpr common::milliseconds max_duration = std::chrono::hours(24);
+// Bounds the memory of a job: each task has a record in its dispatcher.
+constexpr int max_tasks_of_job = 100000;
+
+// What makes the job impossible to run, for its sender; empty if nothing does.
+std::string_view find_defect(const job& it);
+
 enum class job_end {
     succeeded, // every task succeeded
     failed,    // a task failed as many times as its queue allows attempts
--- a/source/stand_ins/users_platform/emulator.cpp
+++ b/source/stand_ins/users_platform/emulator.cpp
@@ -24,7 +24,8 @@
 }
 
 // The payload of a job gives the CPU and the duration of its tasks, and whether they fail:
-// "CPU_MILLIS MILLISECONDS [fail]".
+// "CPU_MILLIS MILLISECONDS [fail]", or any other word, by which set_interference() tells payloads
+// apart.
 cell::simulated_executor::simulated_task parse_payload(const std::string& payload) {
     const auto space = payload.find(' ');
     return {{std::stoll(payload.substr(0, space)), 64, 0},
@@ -104,6 +105,7 @@
         it->simulated.advance(now());
     }
     note_overlaps();
+    note_interfering_runs();
 }
 
 void emulator::note_overlaps() {
@@ -189,6 +191,21 @@
     return domains;
 }
 
+std::uint64_t emulator::starts_in(const std::string& domain) {
+    const std::lock_guard lock(m_mutex);
+    return m_starts_in[domain];
+}
+
+std::size_t emulator::running_in(const std::string& domain) {
+    const std::lock_guard lock(m_mutex);
+    std::size_t sum = 0;
+    for (const auto& it : m_executors) {
+        const auto& simulated = it->simulated;
+        sum += simulated.info().failure_domain == domain ? simulated.running().size() : 0;
+    }
+    return sum;
+}
+
 void emulator::set_stop_fault(int executor, stop_fault fault) {
     const std::lock_guard lock(m_mutex);
     m_executors.at(executor)->on_stop = fault;
@@ -214,6 +231,46 @@
     m_executors.at(i)->simulated.slowdown = slowdown;
 }
 
+void emulator::set_interference(std::vector<interference> pairs) {
+    const std::lock_guard lock(m_mutex);
+    m_interference = std::move(pairs);
+    for (const auto& it : m_executors) {
+        it->simulated.interference = [this](const auto& payload, const auto& beside) {
+            return interference_of(payload, beside);
+        };
+    }
+}
+
+double emulator::interference_of(const std::string& payload, const std::string& beside) const {
+    double factor = 1;
+    for (const auto& it : m_interference) {
+        const bool applies = payload.ends_with(it.payload) && beside.ends_with(it.beside);
+        factor *= applies ? it.factor : 1;
+    }
+    return factor;
+}
+
+void emulator::note_interfering_runs() {
+    if (m_interference.empty()) {
+        return;
+    }
+    for (const auto& it : m_executors) {
+        const auto& running = it->simulated.running();
+        for (const auto& [task, run] : running) {
+            for (const auto& [other_task, other] : running) {
+                if (other_task != task && interference_of(run.payload, other.payload) > 1) {
+                    m_interfering_runs.insert({{task, run.number}, {other_task, other.number}});
+                }
+            }
+        }
+    }
+}
+
+std::size_t emulator::interfering_runs() {
+    const std::lock_guard lock(m_mutex);
+    return m_interfering_runs.size();
+}
+
 std::size_t emulator::running() {
     const std::lock_guard lock(m_mutex);
     std::size_t n = 0;
@@ -239,6 +296,26 @@
     m_tables[table][key] = {value, ++m_version, false};
 }
 
+void emulator::remove(const std::string& table, const std::string& key) {
+    const std::lock_guard lock(m_mutex);
+    m_tables[table][key] = {"", ++m_version, true};
+}
+
+void emulator::drain(const std::string& domain, const std::string& value) {
+    put(names::operator_table, std::string(names::drain_key_prefix) + domain, value);
+}
+
+void emulator::end_drain(const std::string& domain) {
+    remove(names::operator_table, std::string(names::drain_key_prefix) + domain);
+}
+
+void emulator::set_cold(int executor, milliseconds left) {
+    const std::lock_guard lock(m_mutex);
+    auto info = m_executors.at(executor)->simulated.info();
+    info.cold_left = left;
+    put(names::executor_table, info.id, codec::encode_executor(info));
+}
+
 std::string emulator::rows_json(const std::string& table, std::uint64_t after) {
     codec::store_rows rows;
     rows.version = m_version;
@@ -288,7 +365,7 @@
         if (it.value) {
             put(it.table, it.key, *it.value);
         } else {
-            m_tables[it.table][it.key] = {"", ++m_version, true};
+            remove(it.table, it.key);
         }
     }
     to->send({200, {}, codec::encode_rows("", {{}, m_version, false}), json_type});
@@ -313,6 +390,7 @@
         const auto reply = simulated.start(order, parse_payload(order.payload));
         if (reply.status == work::order_status::accepted) {
             m_starts++;
+            m_starts_in[simulated.info().failure_domain]++;
             m_started_jobs.insert(order.run.task.job);
             advance();
         }
--- a/source/stand_ins/users_platform/emulator.h
+++ b/source/stand_ins/users_platform/emulator.h
@@ -76,7 +76,17 @@
     // Writes a configuration with one queue, at host "h.example", prefix "/q/".
     void configure(std::uint64_t version);
 
+    // Writes the row that drains a failure domain, or removes it.
+    void drain(const std::string& domain, const std::string& value = "{}");
+    void end_drain(const std::string& domain);
+    // Writes an executor's row, which says for how long it remains slow.
+    void set_cold(int executor, common::milliseconds left);
+
     std::uint64_t starts() const { return m_starts; }
+    // Accepted start orders of executors of the domain.
+    std::uint64_t starts_in(const std::string& domain);
+    // Runs on executors of the domain.
+    std::size_t running_in(const std::string& domain);
     // How many times a task ran on two executors at once.
     std::uint64_t duplicate_runs() { return overlaps().size(); }
     std::vector<overlap> overlaps();
@@ -94,6 +104,16 @@
     void set_executor_reachable(int i, bool is_reachable);
     void set_executor_slowdown(int i, double slowdown);
     void set_stop_fault(int executor, stop_fault fault);
+    // Runs whose payload ends with `payload` last `factor` times as long beside runs whose payload
+    // ends with `beside` on the same executor.
+    struct interference {
+        std::string payload;
+        std::string beside;
+        double factor = 1;
+    };
+    void set_interference(std::vector<interference> pairs);
+    // How many pairs of runs that interfere have been together on an executor, each counted once.
+    std::size_t interfering_runs();
     static constexpr common::milliseconds stop_delay{600};
 
     static constexpr std::uint16_t store_port = 8169;
@@ -114,6 +134,7 @@
                        const answer& to);
     void write_rows(const std::string& body, const answer& to);
     void put(const std::string& table, const std::string& key, const std::string& value);
+    void remove(const std::string& table, const std::string& key);
     void serve_executor(executor_host& host, const reactor::http_request& request,
                         const answer& to);
     void wait_for_end(executor_host& host, common::time_point until, const answer& to);
@@ -121,6 +142,8 @@
     void stop_run(executor_host& host, const reactor::http_request& request, const answer& to);
     void advance();
     void note_overlaps();
+    void note_interfering_runs();
+    double interference_of(const std::string& payload, const std::string& beside) const;
     void note_overlap(const work::task_id& task, const overlapping_run& a,
                       const overlapping_run& b);
     bool is_running(const work::task_id& task, const overlapping_run& run) const;
@@ -142,7 +165,10 @@
     std::vector<std::unique_ptr<executor_host>> m_executors;
     std::unique_ptr<reactor::http_server> m_store;
     std::set<std::string> m_started_jobs;
+    std::map<std::string, std::uint64_t> m_starts_in; // by domain
     std::vector<overlap> m_overlaps;
+    std::vector<interference> m_interference;
+    std::set<std::pair<work::run_key, work::run_key>> m_interfering_runs;
     std::vector<answer> m_unanswered;
     std::atomic<std::uint64_t> m_starts = 0;
     std::atomic<bool> m_is_store_down = false;
--- a/source/unit_tests/cell/simulated_cell.cpp
+++ b/source/unit_tests/cell/simulated_cell.cpp
@@ -17,22 +17,22 @@
 
 } // namespace
 
-simulated_cell::simulated_cell(std::uint64_t seed, int executors, work::resources capacity,
-                               int holders)
+simulated_cell::simulated_cell(std::uint64_t seed, const std::vector<work::resources>& capacities,
+                               int holders, const limits& by)
     : m_random(seed) {
-    for (int i = 0; i < executors; i++) {
+    for (int i = 0; i < static_cast<int>(capacities.size()); i++) {
         work::executor_info info;
         info.id = "e" + std::to_string(i);
         info.address = {"127.0.0.1", static_cast<std::uint16_t>(1000 + i)};
         info.failure_domain = "d";
         info.upstream = "u";
-        info.capacity = capacity;
+        info.capacity = capacities[i];
         info.labels = {"rack-" + std::to_string(i / executors_per_rack)};
         const double rate = 0.98 + 0.02 * static_cast<double>(m_random() % 100) / 100;
         m_executors.push_back(std::make_unique<simulated_executor>(info, rate));
     }
     for (int i = 0; i < holders; i++) {
-        m_holders.push_back(std::make_unique<holder>(*this, i));
+        m_holders.push_back(std::make_unique<holder>(*this, i, by));
     }
     actual_run = [](const work::job& job, const work::task_id& task) {
         const auto& step = job.steps.at(task.step);
@@ -90,17 +90,17 @@
     }
 }
 
-simulated_cell::holder::holder(simulated_cell& cell, int number)
+simulated_cell::holder::holder(simulated_cell& cell, int number, const limits& by)
     : m_cell(cell), m_number(number),
       m_executor_manager(
-          {}, *this, *this,
+          by, *this, *this,
           [this] {
               return m_fence = std::max<std::int64_t>(
                          m_fence + 1000,
                          m_cell.m_now.time_since_epoch().count() / 1000000 * 8 + m_number);
           },
           *this),
-      m_dispatcher({}, *this, m_executor_manager, *this) {
+      m_dispatcher(by, *this, m_executor_manager, *this) {
     m_cell.after(tick_period, [this] { tick(); });
 }
 
--- a/source/unit_tests/cell/simulated_cell.h
+++ b/source/unit_tests/cell/simulated_cell.h
@@ -28,7 +28,12 @@
 public:
     class holder;
 
-    simulated_cell(std::uint64_t seed, int executors, work::resources capacity, int holders);
+    simulated_cell(std::uint64_t seed, int executors, work::resources capacity, int holders,
+                   const limits& by = {})
+        : simulated_cell(seed, std::vector<work::resources>(executors, capacity), holders, by) {}
+    // One executor for each of the capacities.
+    simulated_cell(std::uint64_t seed, const std::vector<work::resources>& capacities, int holders,
+                   const limits& by = {});
     ~simulated_cell();
 
     common::time_point now() const { return m_now; }
@@ -48,7 +53,9 @@
     network_faults faults;
     std::set<std::pair<int, int>> partitions; // holders and executors cut off from each other
 
-    std::uint64_t starts = 0; // accepted start orders
+    std::vector<pair_change> interference_changes;
+    std::vector<int> contended_priorities; // each time that contention began
+    std::uint64_t starts = 0;              // accepted start orders
     // Log of events for the analysis of a failure; recorded only if `is_tracing` is set.
     bool is_tracing = false;
     std::vector<std::string> trace;
@@ -73,7 +80,7 @@
                                      public job_observer,
                                      public common::clock {
 public:
-    holder(simulated_cell& cell, int number);
+    holder(simulated_cell& cell, int number, const limits& by);
 
     std::uint64_t submit(const work::job& job, done_callback done);
     std::uint64_t submit_leased(const work::job& job, common::time_point held_until,
@@ -99,6 +106,14 @@
                           std::string_view reason) override;
     void job_event(const std::string& job, std::string_view event,
                    const std::string& detail) override;
+    void contention_changed(int priority, bool is_on) override {
+        if (is_on) {
+            m_cell.contended_priorities.push_back(priority);
+        }
+    }
+    void interference_changed(const pair_change& change) override {
+        m_cell.interference_changes.push_back(change);
+    }
 
 private:
     // A report request in progress. A long poll is simulated by polling the executor.
--- a/source/unit_tests/gateway/gateway_test.cpp
+++ b/source/unit_tests/gateway/gateway_test.cpp
@@ -4,8 +4,12 @@
 
 #include <gtest/gtest.h>
 
+#include <limits>
+
+#include "core/cell/retry_after.h"
 #include "core/gateway/forwarding_codec.h"
 #include "core/gateway/forwarding_service.h"
+#include "fleet.pb.h"
 #include "unit_tests/cell/jobs.h"
 
 namespace savorytrail::gateway {
@@ -127,6 +131,40 @@
     EXPECT_EQ(m_client.sent[0].to, (common::endpoint{"10.0.0.7", 7000}));
 }
 
+// An operator's question must neither send the job nor move the random choice.
+TEST_F(a_gateway, explains_the_choice_without_changing_it) {
+    receive("near", "d", 640000);
+    receive("nearby", "d", 320000);
+    receive("farther", "other", 640000);
+    const auto job = cell::make_job("a", 2, milliseconds(200));
+    m_clock.advance(milliseconds(20));
+    gateway_explanation told;
+    for (int i = 0; i < 1000; i++) {
+        told = m_gateway.explain(job);
+    }
+    EXPECT_TRUE(m_client.sent.empty());
+    EXPECT_EQ(m_gateway.open_jobs(), 0U);
+    EXPECT_TRUE(m_observer.events.empty());
+    EXPECT_FALSE(told.are_all_drained);
+    ASSERT_EQ(told.own.refused.has_value(), true); // the own cell has no executors
+    EXPECT_EQ(told.own.refused->cause, cell::refusal_cause::no_executors);
+    std::vector<target> list;
+    std::map<std::string, double> weights;
+    for (const auto& it : told.candidates) {
+        list.push_back(it.cell);
+        weights[it.cell.name] = it.rating.weight;
+        EXPECT_EQ(it.age, milliseconds(20));
+    }
+    EXPECT_EQ(weights, (std::map<std::string, double>{
+                           {"near", 640000}, {"nearby", 320000}, {"farther", 0}}));
+    // As a gateway chooses that was asked nothing.
+    common::seeded_random unused(1);
+    const auto expected = choose_target(job, list, unused);
+    submit();
+    ASSERT_EQ(m_client.sent.size(), 1U);
+    EXPECT_EQ(m_client.sent[0].to, m_view.find(list.at(expected.value()).name)->address);
+}
+
 TEST_F(a_gateway, offers_a_refused_job_to_the_next_dispatcher) {
     receive("near", "d", 640000);
     receive("farther", "other", 640000);
@@ -225,6 +263,110 @@
                   ", last heartbeat 90 ms ago, it had heard this entry 1 ms before");
 }
 
+// What a gateway in domain "d" does with a job.
+struct drained_fleet {
+    std::string failure; // that it guards against
+    std::vector<std::string> drained;
+    std::vector<std::string> with_executors; // empty: not known
+    std::string target;                      // name of an entry; empty: the job waits or is refused
+    bool is_refused_at_once = false;
+
+    friend std::ostream& operator<<(std::ostream& out, const drained_fleet& it) {
+        return out << it.failure;
+    }
+};
+
+class a_draining_gateway : public a_gateway {
+protected:
+    void drain(const std::vector<std::string>& domains) {
+        m_drains.read(++m_version, domains, m_clock.now());
+    }
+
+    // Where a job is sent, by the length of the entry's name (see receive()).
+    std::string target() const { return m_client.sent.empty() ? "" : m_client.sent.back().to.host; }
+
+    std::uint64_t m_version = 0;
+    fleet::drained_domains m_drains;
+};
+
+class drained_fleets : public a_draining_gateway,
+                       public testing::WithParamInterface<drained_fleet> {};
+
+TEST_P(drained_fleets, get_no_jobs) {
+    const auto& it = GetParam();
+    receive("near", "d", 640000);
+    receive("farther", "other", 640000);
+    m_gateway.set_drains(m_drains);
+    m_gateway.set_executor_domains({it.with_executors.begin(), it.with_executors.end()});
+    drain(it.drained);
+    submit();
+    EXPECT_EQ(target(), it.target.empty() ? "" : "10.0.0." + std::to_string(it.target.size()));
+    ASSERT_EQ(m_outcomes.size(), it.is_refused_at_once ? 1U : 0U);
+    if (it.is_refused_at_once) {
+        EXPECT_EQ(m_outcomes[0].end, job_end::not_run);
+        EXPECT_GT(m_outcomes[0].retry_after.count(), 0);
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    drains, drained_fleets,
+    testing::Values(
+        drained_fleet{"a drain elsewhere moves jobs", {"x"}, {}, "near"},
+        drained_fleet{"an entry that has not learnt yet gets jobs", {"d"}, {}, "farther"},
+        drained_fleet{"a job leaves its domain for a drained one", {"other"}, {}, "near"},
+        drained_fleet{"a caller waits in vain", {"d", "other"}, {}, "", true},
+        drained_fleet{
+            "a caller waits in vain, known by the list", {"d", "other"}, {"d", "other"}, "", true},
+        drained_fleet{
+            "a job is refused while a domain is left", {"d", "other"}, {"d", "other", "third"}, ""},
+        drained_fleet{"a domain with entries only counts as a way out",
+                      {"d", "other"},
+                      {"other"},
+                      "",
+                      true}));
+
+// The entry's own executors are drained, but it has adopted some of a domain without entries.
+TEST_F(a_draining_gateway, uses_entries_that_hold_executors_of_other_domains) {
+    m_gateway.set_drains(m_drains);
+    drain({"d"});
+    fleet::heartbeat it;
+    it.sender = {"near", "d", "", 1, 250};
+    it.status.sequence = 1;
+    it.status.load = {640000, 640000, 0};
+    it.status.adopted = {7};
+    it.heard_recipient = milliseconds(1);
+    m_view.receive(it, "10.0.0.4", m_clock.now());
+    submit();
+    EXPECT_EQ(target(), "10.0.0.4");
+}
+
+TEST_F(a_draining_gateway, places_a_job_that_a_drained_cell_has_left_in_another_domain) {
+    receive("near", "d", 640000);
+    receive("farther", "other", 640000);
+    m_gateway.set_drains(m_drains);
+    submit();
+    ASSERT_EQ(target(), "10.0.0.4");
+    drain({"d"});
+    m_client.sent[0].done(work::outcome{job_end::not_run, "drained", milliseconds(1000), true});
+    EXPECT_EQ(target(), "10.0.0.7");
+}
+
+// Jobs that waited for a dispatcher went on waiting when the last domain was drained, or missed
+// that one was taken back.
+TEST_F(a_draining_gateway, ends_the_wait_for_a_dispatcher) {
+    m_gateway.set_drains(m_drains);
+    submit();
+    ASSERT_TRUE(m_outcomes.empty());
+    drain({"d"});
+    m_gateway.tick();
+    ASSERT_EQ(m_outcomes.size(), 1U);
+    EXPECT_EQ(m_outcomes[0].end, job_end::not_run);
+    drain({});
+    receive("near", "d", 640000);
+    submit();
+    EXPECT_EQ(target(), "10.0.0.4");
+}
+
 class a_forwarding_service : public a_gateway {
 protected:
     // Receives a job that the entry "near" forwards, with leases if the number is not 0.
@@ -450,14 +592,32 @@
     EXPECT_EQ(m_client.sent[0].message.from_incarnation, 1U);
 }
 
+// A defective job of a peer must be rejected: a step after a missing one reads beyond the steps,
+// and a job without tasks never ends.
+TEST(forwarding_codec, rejects_jobs_that_cannot_run) {
+    const passed_job valid{cell::make_job("a", 3, milliseconds(70)), "entry-1", 7, 1000, {}};
+    ASSERT_TRUE(decode_job(encode(valid)));
+    auto it = valid;
+    it.job.steps[0].depends_on = {4};
+    EXPECT_FALSE(decode_job(encode(it)));
+    it = valid;
+    it.job.steps[0].tasks = 0;
+    EXPECT_FALSE(decode_job(encode(it)));
+    it = valid;
+    it.job.steps[0].tasks = 2000000000;
+    EXPECT_FALSE(decode_job(encode(it)));
+}
+
 TEST(forwarding_codec, keeps_all_fields_of_a_job) {
     passed_job it{cell::make_job("a", 3, milliseconds(70)), "entry-1", 7, 1000,
                   lease_stamp{2000, milliseconds(30)}};
     it.job.steps[0].required_label = "fast";
     it.job.steps[0].preferred_rack = "r1";
     it.job.steps[0].max_per_executor = 2;
+    it.job.steps[0].image = "resize";
     it.job.steps.push_back(it.job.steps[0]);
     it.job.steps[1].depends_on = {0};
+    it.job.earlier_offers = 2;
     EXPECT_EQ(decode_job(encode(it)), it);
     const work::outcome outcome{job_end::given_up, "why", milliseconds(1200)};
     EXPECT_EQ(decode_outcome(encode(outcome)), outcome);
@@ -465,5 +625,189 @@
     EXPECT_FALSE(decode_job("\x01\x02"));
 }
 
+TEST(forwarding_codec, reads_a_job_of_an_entry_before_earlier_offers_as_offered_first) {
+    schema::passed_job old;
+    ASSERT_TRUE(old.ParseFromString(
+        encode(passed_job{cell::make_job("a", 1, milliseconds(70)), "entry-1", 7, 1000, {}})));
+    old.clear_earlier_offers();
+    EXPECT_EQ(decode_job(old.SerializeAsString())->job.earlier_offers, 0);
+}
+
+struct number_case {
+    const char* name;
+    std::int64_t ms;
+    milliseconds expected;
+};
+
+class a_malformed_number : public testing::TestWithParam<number_case> {};
+
+// Added to a point in time, the greatest ones would overflow.
+TEST_P(a_malformed_number, is_bounded) {
+    schema::passed_job message;
+    ASSERT_TRUE(message.ParseFromString(
+        encode(passed_job{cell::make_job("a", 1, milliseconds(70)), "entry-1", 7, 1000, {}})));
+    message.set_patience_ms(GetParam().ms);
+    message.set_waited_ms(GetParam().ms);
+    message.set_target_ms(GetParam().ms);
+    message.mutable_steps(0)->set_estimate_ms(GetParam().ms);
+    message.set_earlier_offers(4'000'000'000U);
+    const auto it = decode_job(message.SerializeAsString());
+    ASSERT_TRUE(it);
+    EXPECT_EQ(it->job.patience, GetParam().expected);
+    EXPECT_EQ(it->job.waited, GetParam().expected);
+    EXPECT_EQ(it->job.queue.target, GetParam().expected);
+    EXPECT_EQ(it->job.steps[0].estimate, GetParam().expected);
+    EXPECT_EQ(it->job.earlier_offers, 1000);
+    const auto outcome = decode_outcome(
+        encode(work::outcome{job_end::not_run, "full", milliseconds(GetParam().ms)}));
+    ASSERT_TRUE(outcome);
+    EXPECT_GE(outcome->retry_after, milliseconds(0));
+    EXPECT_LE(outcome->retry_after, cell::max_retry_after);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    forwarding_codec, a_malformed_number,
+    testing::Values(number_case{"zero", 0, milliseconds(0)},
+                    number_case{"negative", -1'000'000'000'000, milliseconds(0)},
+                    number_case{"huge", 1'000'000'000'000, milliseconds(86'400'000)},
+                    number_case{"greatest", std::numeric_limits<std::int64_t>::max(),
+                                milliseconds(86'400'000)}),
+    [](const auto& it) { return it.param.name; });
+
+// The load of one cell, and how it answers each offer.
+struct offered_cell {
+    std::int64_t free_cpu_millis = 0;
+    std::int64_t backlog_ms = 0;
+};
+
+struct offers_case {
+    const char* name;
+    std::vector<offered_cell> cells;
+    int waited_ms = 0; // by the job before it arrived
+    std::size_t expected_offers = 0;
+    int retry_after_ms = 2000; // of the cells' refusals
+    int expected_retry_ms = 2000;
+};
+
+class a_job_refused_by_all : public a_gateway, public testing::WithParamInterface<offers_case> {};
+
+constexpr std::int64_t room = 640000;
+
+TEST_P(a_job_refused_by_all, is_offered_where_it_can_be_of_use) {
+    std::string name;
+    for (const auto& it : GetParam().cells) {
+        name += 'c';
+        fleet::heartbeat heartbeat;
+        heartbeat.sender = {name, "d", "", 1, 250};
+        heartbeat.status.sequence = 1;
+        heartbeat.status.load = {640000, it.free_cpu_millis, it.backlog_ms};
+        heartbeat.heard_recipient = milliseconds(1);
+        m_view.receive(heartbeat, "10.0.1." + std::to_string(name.size()), m_clock.now());
+    }
+    auto job = cell::make_job("a", 2, milliseconds(200));
+    job.waited = milliseconds(GetParam().waited_ms);
+    m_gateway.submit(job, [this](const work::outcome& it) { m_outcomes.push_back(it); });
+    for (std::size_t i = 0; i < m_client.sent.size(); i++) {
+        ASSERT_LT(i, 20U);
+        EXPECT_EQ(m_client.sent[i].message.job.earlier_offers, static_cast<int>(i));
+        m_client.sent[i].done(
+            work::outcome{job_end::not_run, "full", milliseconds(GetParam().retry_after_ms)});
+    }
+    EXPECT_EQ(m_client.sent.size(), GetParam().expected_offers);
+    ASSERT_EQ(m_outcomes.size(), 1U);
+    EXPECT_EQ(m_outcomes[0].end, job_end::not_run);
+    EXPECT_EQ(m_outcomes[0].retry_after, milliseconds(GetParam().expected_retry_ms));
+}
+
+const std::vector<offered_cell> ten_with_room(10, {room, 0});
+const std::vector<offered_cell> ten_full(10, {0, 100});
+const std::vector<offered_cell> ten_with_long_backlogs(10, {0, 5000});
+
+// The objective of the job is 380 ms, its value ends after 1140 ms.
+INSTANTIATE_TEST_SUITE_P(
+    burst, a_job_refused_by_all,
+    testing::Values(
+        offers_case{"all_have_room", ten_with_room, 0, 6},
+        // An offer beyond the third is for answers on time.
+        offers_case{"all_have_room_but_it_is_late", ten_with_room, 300, 3},
+        offers_case{"none_has_room", ten_full, 0, 3},
+        offers_case{"all_backlogs_are_too_long", ten_with_long_backlogs, 0, 1},
+        offers_case{"one_has_room_behind_long_backlogs",
+                    {{0, 1}, {0, 5000}, {0, 5000}, {0, 5000}, {room, 4000}},
+                    0,
+                    2},
+        offers_case{
+            "room_only_for_part_of_its_tasks", {{30000, 5000}, {30000, 5000}, {30000, 5000}}, 0, 1},
+        offers_case{"negative_room_and_backlog",
+                    {{-1'000'000'000'000, -5}, {-1'000'000'000'000, -5}},
+                    0,
+                    2},
+        offers_case{"huge_backlogs", {{0, 1'000'000'000'000}, {0, 1'000'000'000'000}}, 0, 1},
+        offers_case{"huge_room", {{1'000'000'000'000, 0}, {1'000'000'000'000, 0}}, 0, 2},
+        offers_case{"retry_time_of_zero", {{0, 1}}, 0, 1, 0, 1000}),
+    [](const auto& it) { return it.param.name; });
+
+// Until the next heartbeat, a cell that had refused jobs counted as full by what was sent to it.
+TEST_F(a_gateway, counts_the_room_that_a_refused_job_did_not_take_as_free) {
+    receive("near", "d", 60000); // of the two tasks of one job
+    receive("farther", "other", 640000);
+    for (int i = 0; i < 20; i++) {
+        submit();
+        ASSERT_EQ(m_client.sent.back().to, (common::endpoint{"10.0.0.4", 7000})) << i;
+        m_client.sent.back().done(work::outcome{job_end::not_run, "full", milliseconds(1000)});
+        ASSERT_EQ(m_client.sent.back().to, (common::endpoint{"10.0.0.7", 7000})) << i;
+        m_client.sent.back().done(work::outcome{job_end::not_run, "full", milliseconds(1000)});
+    }
+}
+
+struct asked_again_case {
+    const char* name;
+    int waited_ms;              // at the second cell
+    bool has_heartbeat = false; // of the first cell, with room, since
+    bool is_asked_again = false;
+};
+
+class a_cell_that_refused : public a_gateway,
+                            public testing::WithParamInterface<asked_again_case> {};
+
+// A job that waited in vain at one cell was refused although the cell that had refused it before
+// was free by then.
+TEST_P(a_cell_that_refused, is_asked_again_once_it_is_known_to_have_room) {
+    receive("near", "d", 640000);
+    receive("farther", "other", 640000);
+    submit();
+    m_client.sent[0].done(work::outcome{job_end::not_run, "full", milliseconds(1000)});
+    ASSERT_EQ(m_client.sent.size(), 2U);
+    m_clock.advance(milliseconds(GetParam().waited_ms));
+    if (GetParam().has_heartbeat) {
+        receive("near", "d", 640000);
+    }
+    m_client.sent[1].done(work::outcome{job_end::not_run, "late", milliseconds(1000)});
+    EXPECT_EQ(m_client.sent.size(), GetParam().is_asked_again ? 3U : 2U);
+    EXPECT_EQ(m_outcomes.size(), GetParam().is_asked_again ? 0U : 1U);
+}
+
+INSTANTIATE_TEST_SUITE_P(burst, a_cell_that_refused,
+                         testing::Values(asked_again_case{"load_is_new", 150, true, true},
+                                         asked_again_case{"load_is_as_old_as_the_refusal", 150},
+                                         asked_again_case{"at_once", 5, true},
+                                         asked_again_case{"answer_would_be_useless", 1100, true}),
+                         [](const auto& it) { return it.param.name; });
+
+// A job is never offered again once an offer's answer is lost: it may be running there.
+TEST_F(a_gateway, does_not_report_a_job_as_not_run_after_the_answer_to_an_offer_is_lost) {
+    receive("near", "d", 640000);
+    receive("nearer", "d", 640000);
+    receive("farther", "other", 640000);
+    submit();
+    m_client.sent[0].done(work::outcome{job_end::not_run, "full", milliseconds(1000)});
+    ASSERT_EQ(m_client.sent.size(), 2U);
+    m_client.sent[1].done(make_error_code(common::error::timed_out));
+    EXPECT_EQ(m_client.sent.size(), 2U);
+    ASSERT_EQ(m_outcomes.size(), 1U);
+    EXPECT_EQ(m_outcomes[0].end, job_end::given_up);
+    EXPECT_EQ(m_client.abandoned.size(), 1U);
+}
+
 } // namespace
 } // namespace savorytrail::gateway
--- a/source/unit_tests/platform_adapter/codec_test.cpp
+++ b/source/unit_tests/platform_adapter/codec_test.cpp
@@ -1,4 +1,5 @@
 // Tests of the codecs between the platform's formats and the product's types.
+#include <cmath>
 #include <gtest/gtest.h>
 
 #include "platform/entry_settings.h"
@@ -37,6 +38,9 @@
         reply_case{"late", 409, R"({"clockMs":5,"reason":"late"})", order_status::lease_expired, 5},
         reply_case{"room", 409, R"({"clockMs":5,"reason":"room"})",
                    order_status::insufficient_resources, 5},
+        // A field of another type must not end the process by an exception.
+        reply_case{"reason_of_another_type", 409, R"({"clockMs":5,"reason":{"why":[7]}})",
+                   order_status::malformed, 5},
         reply_case{"no_ticket", 409, R"({"reason":"ticket"})", order_status::malformed,
                    std::nullopt},
         reply_case{"wrong_executor", 421, "", order_status::wrong_executor, std::nullopt},
@@ -134,6 +138,33 @@
     EXPECT_EQ(*it, expected);
 }
 
+struct cold_case {
+    const char* field; // of the executor's row
+    int expected_ms;
+};
+
+class cold_executors : public testing::TestWithParam<cold_case> {};
+
+// A malformed value made an executor unusable, or a value that changes with each heartbeat made
+// entries pass on the executor's row each time.
+TEST_P(cold_executors, are_decoded) {
+    auto text = std::string(valid_executor);
+    text.insert(1, GetParam().field);
+    const auto it = decode_executor("i-1", text);
+    ASSERT_TRUE(it);
+    EXPECT_EQ(it->cold_left, milliseconds(GetParam().expected_ms));
+}
+
+INSTANTIATE_TEST_SUITE_P(codec, cold_executors,
+                         testing::Values(cold_case{"", 0}, cold_case{R"("coldLeftMs":0,)", 0},
+                                         cold_case{R"("coldLeftMs":1,)", 1000},
+                                         cold_case{R"("coldLeftMs":2000,)", 2000},
+                                         cold_case{R"("coldLeftMs":2000.5,)", 3000},
+                                         cold_case{R"("coldLeftMs":-5,)", 0},
+                                         cold_case{R"("coldLeftMs":1e300,)", 600000},
+                                         cold_case{R"("coldLeftMs":"3000",)", 0},
+                                         cold_case{R"("coldLeftMs":null,)", 0}));
+
 class unusable_executors : public testing::TestWithParam<const char*> {};
 
 TEST_P(unusable_executors, are_rejected) {
@@ -203,11 +234,25 @@
         body_case{"no_tasks", R"({"steps":[{"count":0}],"bestEffort":true})", false, true},
         body_case{"later_step", R"({"steps":[{"count":1,"after":[0]}],"bestEffort":true})", false,
                   true},
+        // A small body must not make the dispatcher allocate records without bound.
+        body_case{"too_many_tasks_in_all",
+                  R"({"steps":[{"count":60000},{"count":60000}],"bestEffort":true})", false, true},
+        body_case{"absurd_estimate",
+                  R"({"steps":[{"count":1,"estimateMs":1000000000000000}],"bestEffort":true})",
+                  true, false},
         body_case{"wrong_type", R"({"steps":[{"count":"x"}],"bestEffort":true})", false, true},
         body_case{"negative", R"({"steps":[{"count":1,"cpu":-5}],"bestEffort":true})", false, true},
         body_case{"no_json", "steps", false, true}),
     [](const auto& it) { return it.param.name; });
 
+// Times that are added to the clock overflowed, so that the job counted as too late on arrival.
+TEST(job_bodies, bound_an_absurd_estimate) {
+    const auto it = decode_job_body(
+        "5c0e7a21d94b36f8",
+        R"({"steps":[{"count":1,"estimateMs":1000000000000000}],"bestEffort":true})", {});
+    EXPECT_EQ(std::get<work::job>(it).steps[0].estimate, work::max_duration);
+}
+
 TEST(answers, give_the_outcome_of_a_job) {
     using work::job_end;
     EXPECT_EQ(encode_answer({job_end::succeeded, "", {}}).body, R"({"state":"succeeded"})");
@@ -267,16 +312,50 @@
 }
 
 TEST(entry_rows, survive_encoding_and_decoding) {
-    const entry_row it{{"front-1", "a", "10.0.0.1"}, {{"q", std::chrono::milliseconds(1800)}}};
+    const entry_row it{{"front-1", "a", "10.0.0.1"},
+                       {{"q", std::chrono::milliseconds(1800)}},
+                       {{0xfedcba9876543210U, -0.35, 120}, {7, 0.5, 300}}};
     EXPECT_EQ(decode_entry(encode_entry(it)), it);
-    // A row without learnt patience.
+    // A row of an entry that has learnt nothing, or of an earlier version.
     EXPECT_EQ(decode_entry(R"({"name":"front-1","domain":"a","host":"10.0.0.1"})"),
-              (entry_row{{"front-1", "a", "10.0.0.1"}, {}}));
+              (entry_row{{"front-1", "a", "10.0.0.1"}, {}, {}}));
+    EXPECT_EQ(encode_entry({{"n", "a", "h"}, {}, {}}).find("kind_speeds"), std::string::npos);
     EXPECT_FALSE(decode_entry(R"({"name":"front-1"})"));
     EXPECT_FALSE(
         decode_entry(R"({"name":"n","domain":"a","host":"h","patience_ms":{"q":"soon"}})"));
     EXPECT_FALSE(decode_entry(R"({"name":"n","domain":"a","host":"h","patience_ms":7})"));
 }
 
+// A malformed speed must cost neither the row, which names an entry, nor the process.
+class malformed_speeds : public testing::TestWithParam<const char*> {};
+
+TEST_P(malformed_speeds, are_decoded_to_values_that_are_not_finite) {
+    const std::string value = GetParam();
+    const auto it = decode_entry(R"({"name":"n","domain":"a","host":"h","kind_speeds":[)" + value +
+                                 R"(,{"kind":"7","log_speed":0.5,"weight":3}]})");
+    ASSERT_TRUE(it);
+    ASSERT_EQ(it->kind_speeds.size(), 2U);
+    EXPECT_TRUE(std::isnan(it->kind_speeds[0].log_speed));
+    EXPECT_EQ(it->kind_speeds[1], (fleet::kind_speed{7, 0.5, 3}));
+}
+
+INSTANTIATE_TEST_SUITE_P(entry_rows, malformed_speeds,
+                         testing::Values("7", "null", "[]", "{}",
+                                         R"({"kind":7,"log_speed":0,"weight":1})",
+                                         R"({"kind":"xyz","log_speed":0,"weight":1})",
+                                         R"({"kind":"7","log_speed":"fast","weight":1})",
+                                         R"({"kind":"7","log_speed":0,"weight":-1})",
+                                         R"({"kind":"7","log_speed":0,"weight":1e30})",
+                                         R"({"kind":"7","log_speed":null,"weight":1})"));
+
+TEST(entry_rows, take_speeds_that_are_no_list_for_none) {
+    for (const char* const value : {"7", R"("fast")", "null"}) {
+        const auto it = decode_entry(R"({"name":"n","domain":"a","host":"h","kind_speeds":)" +
+                                     std::string(value) + "}");
+        ASSERT_TRUE(it) << value;
+        EXPECT_LE(it->kind_speeds.size(), 1U) << value;
+    }
+}
+
 } // namespace
 } // namespace savorytrail::platform_adapter
