--- a/source/unit_tests/cell/admission_test.cpp
+++ b/source/unit_tests/cell/admission_test.cpp
@@ -165,7 +165,8 @@
 // Other entries sent jobs to cells by room on executors that took no work.
 TEST_P(published_load, has_only_room_that_takes_work_as_usable) {
     const auto executors = make_executors(GetParam().executors);
-    EXPECT_EQ(load_of(executors, packing(), 32000, executor_speeds(), start).usable_cpu_millis, GetParam().usable_cores * 1000);
+    EXPECT_EQ(load_of(executors, packing(), 32000, executor_speeds(), start).usable_cpu_millis,
+              GetParam().usable_cores * 1000);
 }
 
 INSTANTIATE_TEST_SUITE_P(
--- a/source/unit_tests/cell/explanation_test.cpp
+++ b/source/unit_tests/cell/explanation_test.cpp
@@ -40,7 +40,8 @@
     static constexpr std::int64_t cores = 64;
 
     explicit loaded_cell(const load_case& by)
-        : m_case(by), m_cell(11, executors, {cores * 1000, 131072, 0}, 1), m_random(23) {
+        : m_case(by), m_cell(11, executors, {cores * 1000, 131072, 0}, 1, reserving_limits()),
+          m_random(23) {
         m_cell.is_tracing = true;
         for (int i = 0; i < executors; i++) {
             m_cell.executor(i).slowdown = 1 / by.speeds[i % by.speeds.size()];
--- a/source/unit_tests/cell/jobs.h
+++ b/source/unit_tests/cell/jobs.h
@@ -1,6 +1,7 @@
 // Jobs for the tests of cells.
 #pragma once
 
+#include "core/cell/limits.h"
 #include "core/work/job.h"
 
 namespace savorytrail::cell {
@@ -24,4 +25,11 @@
     return job;
 }
 
+// Limits of a cell that holds less urgent jobs back while more urgent ones lack free capacity.
+inline limits reserving_limits() {
+    limits it;
+    it.reserves_capacity = true;
+    return it;
+}
+
 } // namespace savorytrail::cell
--- a/source/unit_tests/cell/room_reservation_test.cpp
+++ b/source/unit_tests/cell/room_reservation_test.cpp
@@ -123,7 +123,7 @@
 // Urgent jobs need a cell of 16 places for 2 s, the last ones in vain; when all have ended, a job
 // of a lower priority that needs 14 places comes.
 struct held_job {
-    simulated_cell cell{3, 8, {64000, 131072, 0}, 1};
+    simulated_cell cell{3, 8, {64000, 131072, 0}, 1, reserving_limits()};
     std::optional<work::outcome> outcome;
     std::uint64_t ticket = 0;
 
@@ -197,7 +197,7 @@
 
 // Jobs that cannot run or that claim any urgency must not keep a cell from the others' work.
 TEST_P(absurd_jobs, leave_others_their_capacity) {
-    simulated_cell cell{3, 8, {64000, 131072, 0}, 1};
+    simulated_cell cell{3, 8, {64000, 131072, 0}, 1, reserving_limits()};
     cell.at(0).assign(cell.executor_infos());
     cell.run_for(milliseconds(200));
     int succeeded = 0;
