--- a/source/unit_tests/cell/uneven_speeds_test.cpp
+++ b/source/unit_tests/cell/uneven_speeds_test.cpp
@@ -75,6 +75,7 @@
     static constexpr int executors = 24;
     static std::vector<work::resources> capacities_in_turn() {
         std::vector<work::resources> list;
+        list.reserve(executors);
         for (int i = 0; i < executors; i++) {
             list.push_back(capacities[i % capacities.size()]);
         }
