Logs and metrics: why a run was lost, and which runs an executor's crash hit

From the logs of an incident nobody could tell a crash from silence, nor learn that a task had crashed executors. A connection that breaks and a new one that is refused at once now count as a crash: executor_crashed names the process and the runs there with their ages, run_lost the run and its cause, savory_lost_runs_total counts by cause. Nothing is decided by it yet.

Simulated executors can be crashed by a task, stay away for a while and change their capacity.

--- a/source/core/cell/dispatcher.cpp
+++ b/source/core/cell/dispatcher.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
+#include "absl/strings/str_cat.h"
 #include "core/cell/placement.h"
 
 namespace savorytrail::cell {
@@ -531,10 +532,10 @@
 }
 
 void dispatcher::on_run_ended(const work::run_key& run, const std::string& executor,
-                              run_result result, work::order_status status) {
+                              const run_outcome& outcome) {
     m_interference.note_end(executor, run, m_clock.now());
     if (m_stopping_runs.contains(run.task)) {
-        note_stopped_run(run.task, result);
+        note_stopped_run(run.task, outcome.result);
         return;
     }
     const auto job = find(run.task.job);
@@ -548,7 +549,7 @@
     if (task == job->tasks().end()) {
         return;
     }
-    switch (result) {
+    switch (outcome.result) {
     case run_result::done:
         job->set_state(*task, task_state::done);
         break;
@@ -556,13 +557,11 @@
         on_failure(job, *task);
         return;
     case run_result::lost:
-        task->lost_runs++;
-        task->avoid = executor;
-        job->set_state(*task, task_state::waiting);
+        on_lost(*job, *task, outcome.loss);
         break;
     case run_result::refused:
         job->retract_start();
-        if (status != work::order_status::outdated) {
+        if (outcome.status != work::order_status::outdated) {
             task->avoid = executor;
         }
         job->set_state(*task, task_state::waiting);
@@ -576,6 +575,17 @@
     job->unblock();
 }
 
+void dispatcher::on_lost(job_record& job, task_record& task, loss_cause cause) {
+    m_observer.job_event(job.job().id, "run_lost",
+                         absl::StrCat(task.executor, ": step ", task.step, ", task ", task.index,
+                                      ", run ", task.last_run_number, ", ",
+                                      std::string(to_string(cause))));
+    m_observer.count_lost_run(cause);
+    task.lost_runs++;
+    task.avoid = task.executor;
+    job.set_state(task, task_state::waiting);
+}
+
 void dispatcher::on_failure(job_list::iterator job, task_record& task) {
     m_executor_manager.note_failure(task.executor, task.failures == 0);
     task.failures++;
--- a/source/core/cell/dispatcher.h
+++ b/source/core/cell/dispatcher.h
@@ -49,6 +49,8 @@
                            const std::string& detail) = 0;
     // For the counters; job_event() reports the refusal itself.
     virtual void count_refusal(refusal_cause) {}
+    // For the counters; job_event() reports the lost run itself.
+    virtual void count_lost_run(loss_cause) {}
     // All runs of a job that were open when the job was closed have ended, the last one this long
     // after.
     virtual void runs_stopped(common::milliseconds) {}
@@ -98,8 +100,8 @@
     interference& task_interference() { return m_interference; }
     const interference& task_interference() const { return m_interference; }
 
-    void on_run_ended(const work::run_key& run, const std::string& executor, run_result result,
-                      work::order_status status) override;
+    void on_run_ended(const work::run_key& run, const std::string& executor,
+                      const run_outcome& outcome) override;
     void on_suspended() override;
     void on_run_duration(const work::run_key& run, const work::executor_info& executor,
                          common::milliseconds took) override;
@@ -144,6 +146,7 @@
     void stop_runs(const job_record& job, common::time_point runs_end_by);
     void note_stopped_run(const work::task_id& task, run_result result);
     void on_failure(job_list::iterator job, task_record& task);
+    void on_lost(job_record& job, task_record& task, loss_cause cause);
     // Whether tasks wait only because too few cores are free, so that the executors' utilization
     // shows how far they can be used.
     bool is_waiting_for_cores(const job_record& job) const;
--- a/source/core/cell/executor_manager.cpp
+++ b/source/core/cell/executor_manager.cpp
@@ -334,31 +334,36 @@
     it->health.put_on_probation();
 }
 
-void executor_manager::finish_run(executor_record& it, const work::run_key& key, run_result result,
-                                  order_status status) {
+void executor_manager::finish_run(executor_record& it, const work::run_key& key,
+                                  const run_outcome& outcome) {
     const auto found = it.runs.find(key);
     if (found == it.runs.end()) {
         return;
     }
     const auto& run = found->second;
-    if (result == run_result::done && run.state == run_state::running) {
+    if (outcome.result == run_result::done && run.state == run_state::running) {
         it.health.note_success();
         m_listener->on_run_duration(
             key, it.info, std::chrono::duration_cast<milliseconds>(m_clock.now() - run.started_at));
     }
     it.used -= run.occupied;
     it.runs.erase(found);
-    m_listener->on_run_ended(key, it.info.id, result, status);
+    m_listener->on_run_ended(key, it.info.id, outcome);
 }
 
-void executor_manager::finish_all_runs(executor_record& it, run_result result) {
+void executor_manager::finish_lost_run(executor_record& it, const work::run_key& key,
+                                       loss_cause cause) {
+    finish_run(it, key, {run_result::lost, order_status::accepted, cause});
+}
+
+void executor_manager::finish_all_runs(executor_record& it, loss_cause cause) {
     std::vector<work::run_key> keys;
     keys.reserve(it.runs.size());
     for (const auto& [key, run] : it.runs) {
         keys.push_back(key);
     }
     for (const auto& key : keys) {
-        finish_run(it, key, result);
+        finish_lost_run(it, key, cause);
     }
 }
 
@@ -375,6 +380,7 @@
     if (reply.status == order_status::fenced) {
         lose_claim(*it, higher_fence);
     }
+    note_contact(*it, reply.status);
     const auto found = it->runs.find(run);
     if (found == it->runs.end()) {
         return;
@@ -389,6 +395,7 @@
         }
         return;
     case order_status::no_answer:
+    case order_status::connection_lost:
         if (record.state == run_state::starting && is_only_copy && !it->is_unresponsive() &&
             !was_suspended() && !m_stalls.is_catching_up() && it->state == claim_state::held &&
             !it->is_drained) {
@@ -404,7 +411,7 @@
         it->resources_exhausted_until = now + insufficient_resources_delay;
     }
     if (is_only_copy) {
-        finish_run(*it, run, run_result::refused, reply.status);
+        finish_run(*it, run, {run_result::refused, reply.status});
         m_listener->on_resources_freed();
         return;
     }
@@ -475,8 +482,9 @@
             expired.push_back(key);
         }
     }
+    const auto cause = it.has_crashed ? loss_cause::executor_crashed : loss_cause::lease_expired;
     for (const auto& key : expired) {
-        finish_run(it, key, run_result::lost);
+        finish_lost_run(it, key, cause);
     }
 }
 
--- a/source/core/cell/executor_manager.h
+++ b/source/core/cell/executor_manager.h
@@ -20,25 +20,19 @@
 #include "core/cell/executor_record.h"
 #include "core/cell/executor_speed.h"
 #include "core/cell/orders.h"
+#include "core/cell/run_outcome.h"
 #include "core/common/error.h"
 #include "core/common/stall_detector.h"
 #include "core/fleet/drained_domains.h"
 
 namespace savorytrail::cell {
 
-enum class run_result {
-    done,
-    failed,
-    lost,    // stopped, expired or missing from reports; not running, may be started again
-    refused, // never started
-};
-
 // Receives run events from an executor_manager.
 class run_listener {
 public:
     virtual ~run_listener() = default;
     virtual void on_run_ended(const work::run_key& run, const std::string& executor,
-                              run_result result, work::order_status status) = 0;
+                              const run_outcome& outcome) = 0;
     // This VM was suspended or stalled: callers may have disconnected meanwhile.
     virtual void on_suspended() = 0;
     // A run succeeded after the given duration; called before on_run_ended().
@@ -139,9 +133,14 @@
     void send_stop(executor_record& it, const work::run_key& key, run_record& run);
     void note_unanswered_stop(const executor_record& it, const work::run_key& key, run_record& run);
     void resend_start(executor_record& it, const work::run_key& key, run_record& run);
-    void finish_run(executor_record& it, const work::run_key& key, run_result result,
-                    work::order_status status = work::order_status::accepted);
-    void finish_all_runs(executor_record& it, run_result result);
+    void finish_run(executor_record& it, const work::run_key& key, const run_outcome& outcome);
+    void finish_lost_run(executor_record& it, const work::run_key& key, loss_cause cause);
+    void finish_all_runs(executor_record& it, loss_cause cause);
+    // What a failed request tells of the executor's process.
+    void note_contact(executor_record& it, work::order_status status);
+    void note_crash(executor_record& it, common::time_point at);
+    void note_crash_refuted(executor_record& it);
+    void note_answer(executor_record& it);
     void apply_report(executor_record& it, const pending_report& request,
                       const work::run_report& report);
     void apply_ended_runs(executor_record& it, const work::run_report& report);
--- a/source/core/cell/executor_record.h
+++ b/source/core/cell/executor_record.h
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -97,6 +98,9 @@
     common::time_point lost_at;                   // latest
     common::time_point resources_exhausted_until; // no starts until then, after a rejection
     int missed_reports = 0;                       // in a row
+    // When a connection broke; unset when the executor answers again.
+    std::optional<common::time_point> connection_lost_at;
+    bool has_crashed = false; // its process has ended, and none has answered since
     // When the latest report arrived.
     std::optional<common::time_point> reported_at;
 
--- a/source/core/cell/executor_reports.cpp
+++ b/source/core/cell/executor_reports.cpp
@@ -32,12 +32,14 @@
     it->missed_reports = 0;
     it->reported_at = m_clock.now();
     apply_report(*it, request, report);
+    note_answer(*it);
     request_next_report(*it);
     m_listener->on_resources_freed();
 }
 
 void executor_manager::on_report_failure(executor_record& it, order_status status) {
     const auto now = m_clock.now();
+    note_contact(it, status);
     it.next_report_request =
         now + (it.missed_reports == 0 ? milliseconds(0) : m_limits.unresponsive_retry);
     switch (status) {
@@ -51,7 +53,8 @@
         return;
     case work::order_status::wrong_executor:
         // The process that executed the runs has exited.
-        finish_all_runs(it, run_result::lost);
+        note_crash(it, it.connection_lost_at.value_or(now));
+        finish_all_runs(it, loss_cause::executor_restarted);
         it.next_report_request = now + m_limits.unresponsive_retry;
         it.missed_reports++;
         return;
@@ -72,12 +75,18 @@
     if (report.start_time_ms != 0 && it.start_time_ms != 0 &&
         report.start_time_ms != it.start_time_ms) {
         m_observer.executor_changed(it.info.id, "executor_reborn", "the executor restarted");
+        note_crash(it, it.connection_lost_at.value_or(now));
         it.clock.reset();
         it.acknowledged = 0;
         // Orders in flight may have reached the new process, with leases by the old clock; the
         // executor grants them at most its longest lease.
         it.lease_until = report.clock_ms + m_limits.longest_lease.count();
     }
+    const bool is_same_process =
+        report.start_time_ms != 0 && it.start_time_ms == report.start_time_ms;
+    if (is_same_process && it.has_crashed) {
+        note_crash_refuted(it);
+    }
     if (report.start_time_ms != 0) {
         it.start_time_ms = report.start_time_ms;
     }
@@ -105,13 +114,13 @@
         it.acknowledged = end.sequence;
         switch (end.kind) {
         case work::run_end::done:
-            finish_run(it, end.run, run_result::done);
+            finish_run(it, end.run, {run_result::done});
             break;
         case work::run_end::failed:
-            finish_run(it, end.run, run_result::failed);
+            finish_run(it, end.run, {run_result::failed});
             break;
         default:
-            finish_run(it, end.run, run_result::lost);
+            finish_lost_run(it, end.run, loss_cause::ended_by_executor);
             break;
         }
     }
@@ -143,8 +152,10 @@
             vanished.push_back(key);
         }
     }
+    const bool has_restarted = report.start_time_ms != 0 && it.has_crashed;
     for (const auto& key : vanished) {
-        finish_run(it, key, run_result::lost);
+        finish_lost_run(it, key,
+                        has_restarted ? loss_cause::executor_restarted : loss_cause::vanished);
     }
     for (const auto& key : it.foreign_runs) {
         m_orders.stop(it.info, {key, it.fence});
--- a/source/core/cell/stopping_runs.h
+++ b/source/core/cell/stopping_runs.h
@@ -6,7 +6,7 @@
 #include <string>
 
 #include "absl/container/flat_hash_map.h"
-#include "core/cell/executor_manager.h"
+#include "core/cell/run_outcome.h"
 
 namespace savorytrail::cell {
 
--- a/source/core/common/error.cpp
+++ b/source/core/common/error.cpp
@@ -18,6 +18,8 @@
             return "no answer within the time bound";
         case error::unreachable:
             return "not reached, nothing was sent";
+        case error::connection_refused:
+            return "connection refused, nothing was sent";
         case error::connection_lost:
             return "connection lost after bytes were sent";
         case error::conflict:
@@ -38,4 +40,8 @@
     return s_category;
 }
 
+bool is_unsent(const std::error_code& ec) noexcept {
+    return ec == error::unreachable || ec == error::connection_refused;
+}
+
 } // namespace savorytrail::common
--- a/source/core/gateway/gateway.cpp
+++ b/source/core/gateway/gateway.cpp
@@ -391,7 +391,7 @@
                          target + ": " + ec.message() + ", " +
                              fleet::describe_link(m_view, target, m_clock.now()));
     m_view.note_connection_lost(target);
-    if (ec == common::error::unreachable) {
+    if (common::is_unsent(ec)) {
         place(ticket);
         return;
     }
--- a/source/core/log_story/job_story.cpp
+++ b/source/core/log_story/job_story.cpp
@@ -21,7 +21,7 @@
                                                "entry_lost", "loop_stalled", "lines_suppressed"};
 const std::set<std::string> executor_incidents = {
     "executor_taken",  "executor_silent",  "executor_reborn", "executor_rested",
-    "executor_let_go", "executor_adopted", "stop_unanswered"};
+    "executor_let_go", "executor_adopted", "stop_unanswered", "executor_crashed"};
 
 void sort_by_time(std::vector<log_event>& events) {
     std::stable_sort(events.begin(), events.end(),
--- a/source/core/telemetry/job_metrics.cpp
+++ b/source/core/telemetry/job_metrics.cpp
@@ -3,7 +3,7 @@
 namespace savorytrail::telemetry {
 namespace {
 
-enum family_index : std::size_t { answers, events, stops, refusals, holds };
+enum family_index : std::size_t { answers, events, stops, refusals, holds, losses };
 
 std::vector<family> make_families() {
     return {
@@ -27,6 +27,10 @@
          "Time for which a job was held back, by the priority that it left capacity to.",
          metric_kind::histogram,
          {0.02, 0.04, 0.08, 0.15, 0.3, 0.5, 1, 2}},
+        {"savory_lost_runs_total",
+         "Runs of open jobs that were lost, by cause.",
+         metric_kind::counter,
+         {}},
     };
 }
 
@@ -52,6 +56,10 @@
     m_registry.add(events, {{"event", std::string(event)}});
 }
 
+void job_metrics::count_lost_run(std::string_view cause) {
+    m_registry.add(losses, {{"cause", std::string(cause)}});
+}
+
 void job_metrics::count_refusal(std::string_view cause) {
     m_registry.add(refusals, {{"cause", std::string(cause)}});
 }
--- a/source/core/telemetry/job_metrics.h
+++ b/source/core/telemetry/job_metrics.h
@@ -20,6 +20,8 @@
     void observe_hold(int for_priority, std::chrono::milliseconds held);
     // A decision or a state change, by its event name in the log.
     void count_event(std::string_view event);
+    // A run was lost, by cause.
+    void count_lost_run(std::string_view cause);
     // A cell or a gateway refused a job that had not run.
     void count_refusal(std::string_view cause);
 
--- a/source/core/work/executor.h
+++ b/source/core/work/executor.h
@@ -88,8 +88,10 @@
     malformed,
     wrong_executor, // another executor answers at the address
     unhealthy,
-    no_answer, // unknown: the order may still be carried out
-    not_sent,  // the order certainly did not reach the executor
+    no_answer,          // unknown: the order may still be carried out
+    connection_lost,    // likewise: the connection ended before the answer
+    not_sent,           // the order certainly did not reach the executor
+    connection_refused, // likewise: no process listens at the executor's address
 };
 
 struct order_reply {
--- a/source/stand_ins/users_platform/simulated_executor.h
+++ b/source/stand_ins/users_platform/simulated_executor.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -23,6 +24,7 @@
         common::time_point started;
         std::string payload;
         double delay_ms = 0; // by neighbours, less than a millisecond and not in `ends_at` yet
+        std::optional<std::int64_t> crashes_at; // on the executor's clock
     };
 
     simulated_executor(work::executor_info info, double clock_rate)
@@ -35,14 +37,22 @@
         work::resources occupied;
         common::milliseconds work{0};
         bool fails = false;
+        // The executor crashes this long after the start, unless the run has ended before.
+        std::optional<common::milliseconds> crashes_after = std::nullopt;
     };
 
     work::order_reply start(const start_order& order, const simulated_task& task);
     work::order_reply stop(const stop_order& order);
     std::pair<work::order_status, work::run_report> report(const report_request& request);
 
-    // Restarts the executor at once, with all state lost.
+    // Ends the process, with all state lost; another one answers after `down_time`.
     void crash(common::time_point now);
+    // Whether no process answers.
+    bool is_down() const { return m_now < m_down_until; }
+    // The tasks that crashed it, one for each crash by a task.
+    const std::vector<work::task_id>& crashed_by() const { return m_crashed_by; }
+    // What it offers from now on; runs that no longer fit go on.
+    void set_capacity(const work::resources& it);
 
     const work::executor_info& info() const { return m_info; }
     const std::map<work::task_id, run>& running() const { return m_running; }
@@ -52,6 +62,10 @@
     bool is_reachable = true;
     double slowdown = 1; // factor on the duration of runs that start
     bool is_stalled = false;
+    common::milliseconds down_time{0};
+    bool rejects_overload = true; // rejects starts that exceed its capacity
+    // How far the occupied resources ever exceeded the capacity just after a start.
+    work::resources highest_excess{0, 0, 0};
     std::int64_t longest_lease_ms = 1000; // caps the leases that are asked for
     // The factor by which runs of a payload last longer while one of the other payload runs beside
     // them; several factors are multiplied. Empty: no run slows another.
@@ -62,8 +76,9 @@
     void end(const work::task_id& task, work::run_end kind);
     void renew(std::int64_t until);
     void slow_down(std::int64_t passed);
+    bool crash_by_task(common::time_point now);
 
-    const work::executor_info m_info;
+    work::executor_info m_info;
     const double m_clock_rate;
     common::time_point m_clock_origin;
     bool m_has_clock_origin = false;
@@ -78,6 +93,8 @@
     // The highest run number that ended or was stopped.
     std::map<work::task_id, std::int64_t> m_last_ended_run;
     std::vector<work::ended_run> m_ended;
+    common::time_point m_down_until;
+    std::vector<work::task_id> m_crashed_by;
 };
 
 } // namespace savorytrail::cell
--- a/source/unit_tests/cell/simulated_cell.cpp
+++ b/source/unit_tests/cell/simulated_cell.cpp
@@ -62,15 +62,21 @@
         m_now = std::max(m_now, next->first);
         const auto work = std::move(next->second);
         m_events.erase(next);
-        for (const auto& it : m_executors) {
-            it->advance(m_now);
-        }
+        advance_executors();
         work();
         check();
     }
     m_now = end;
 }
 
+void simulated_cell::advance_executors() {
+    m_crashes_seen.resize(m_executors.size());
+    for (std::size_t i = 0; i < m_executors.size(); i++) {
+        m_executors[i]->advance(m_now);
+        m_budget.count_crashes(*m_executors[i], m_crashes_seen[i]);
+    }
+}
+
 void simulated_cell::note(const std::string& line) {
     if (is_tracing) {
         const auto ms = std::chrono::duration_cast<milliseconds>(m_now.time_since_epoch()).count();
@@ -174,7 +180,7 @@
 void simulated_cell::holder::send(
     const work::executor_info& to, milliseconds timeout,
     const std::function<std::function<void()>(simulated_executor&)>& execute,
-    const std::function<void()>& on_timeout) {
+    const std::function<void(work::order_status)>& on_failure) {
     const int number = executor_number(to);
     auto& random = m_cell.m_random;
     const auto roll = static_cast<int>(random() % 1000);
@@ -196,7 +202,10 @@
                 !executor.is_reachable || m_cell.partitions.contains({m_number, number})) {
                 return;
             }
-            const auto answer = execute(executor);
+            const bool is_refused = executor.is_down();
+            const auto answer = is_refused
+                                    ? [=] { on_failure(work::order_status::connection_refused); }
+                                    : execute(executor);
             if (is_late || loses_answer) {
                 return;
             }
@@ -212,7 +221,7 @@
     m_cell.after(timeout, [=, this] {
         deliver([=] {
             if (!std::exchange(*is_answered, true)) {
-                on_timeout();
+                on_failure(work::order_status::no_answer);
             }
         });
     });
@@ -224,7 +233,13 @@
         at, limits().order_timeout,
         [this, id = at.id, order, job](simulated_executor& it) -> std::function<void()> {
             const auto reply = it.start(order, m_cell.actual_run(job, order.run.task));
-            m_cell.starts += reply.status == work::order_status::accepted ? 1 : 0;
+            const bool has_started = reply.status == work::order_status::accepted;
+            m_cell.starts += has_started ? 1 : 0;
+            if (has_started && m_cell.m_budget.note_start(order.run.task)) {
+                m_cell.violations.push_back(
+                    "started too often after three crashes: " + order.run.task.job + " task " +
+                    std::to_string(order.run.task.index));
+            }
             m_cell.note(id + " start " + order.run.task.job + " task " +
                         std::to_string(order.run.task.index) + " run " +
                         std::to_string(order.run.number) + " status " +
@@ -235,9 +250,8 @@
                 m_executor_manager.on_start_reply(id, order.run, reply);
             };
         },
-        [this, id = at.id, order] {
-            m_executor_manager.on_start_reply(id, order.run,
-                                              {work::order_status::no_answer, std::nullopt});
+        [this, id = at.id, order](work::order_status failure) {
+            m_executor_manager.on_start_reply(id, order.run, {failure, std::nullopt});
         });
 }
 
@@ -257,9 +271,8 @@
                 m_executor_manager.on_stop_reply(id, order.run, reply);
             };
         },
-        [this, id = at.id, order] {
-            m_executor_manager.on_stop_reply(id, order.run,
-                                             {work::order_status::no_answer, std::nullopt});
+        [this, id = at.id, order](work::order_status failure) {
+            m_executor_manager.on_stop_reply(id, order.run, {failure, std::nullopt});
         });
 }
 
@@ -289,7 +302,15 @@
     if (!can_reach(it->executor)) {
         return;
     }
-    const auto [status, report] = m_cell.executor(it->executor).report(it->request);
+    auto& executor = m_cell.executor(it->executor);
+    if (executor.is_down()) {
+        m_cell.after(one_way_delay, [this, it] {
+            receive_answer(it, work::order_status::connection_refused, {});
+        });
+        return;
+    }
+    it->start_time_ms = executor.current_report().start_time_ms;
+    const auto [status, report] = executor.report(it->request);
     if (status != work::order_status::accepted) {
         m_cell.after(one_way_delay,
                      [this, it, status = status] { receive_answer(it, status, {}); });
@@ -301,6 +322,14 @@
 void simulated_cell::holder::poll_report(const std::shared_ptr<report_call>& it) {
     constexpr milliseconds poll_interval{5};
     const auto report = m_cell.executor(it->executor).current_report();
+    if (report.start_time_ms != it->start_time_ms) { // its connection ended with the process
+        if (can_reach(it->executor)) {
+            m_cell.after(one_way_delay, [this, it] {
+                receive_answer(it, work::order_status::connection_lost, {});
+            });
+        }
+        return;
+    }
     if (report.ended.empty() && m_cell.m_now < it->until) {
         m_cell.after(poll_interval, [this, it] { poll_report(it); });
         return;
--- a/source/unit_tests/cell/simulated_cell.h
+++ b/source/unit_tests/cell/simulated_cell.h
@@ -11,6 +11,7 @@
 
 #include "core/cell/dispatcher.h"
 #include "stand_ins/users_platform/simulated_executor.h"
+#include "unit_tests/cell/crash_budget.h"
 
 namespace savorytrail::cell {
 
@@ -56,6 +57,7 @@
     std::vector<pair_change> interference_changes;
     std::vector<int> contended_priorities; // each time that contention began
     std::uint64_t starts = 0;              // accepted start orders
+    const crash_budget& budget() const { return m_budget; }
     // Log of events for the analysis of a failure; recorded only if `is_tracing` is set.
     bool is_tracing = false;
     std::vector<std::string> trace;
@@ -65,6 +67,7 @@
 private:
     friend class holder;
     void check();
+    void advance_executors();
 
     common::time_point m_now = common::time_point(std::chrono::hours(1));
     std::mt19937_64 m_random;
@@ -72,6 +75,8 @@
     std::vector<std::unique_ptr<simulated_executor>> m_executors;
     std::vector<std::unique_ptr<holder>> m_holders;
     std::map<std::string, work::job> m_jobs; // by id, as submitted
+    crash_budget m_budget;
+    std::vector<std::size_t> m_crashes_seen; // by executor
 };
 
 // An entry's executor manager and dispatcher. Processes nothing while frozen; its clock stops too.
@@ -123,6 +128,7 @@
         common::time_point until;
         bool loses_answer = false;
         bool is_answered = false;
+        std::int64_t start_time_ms = 0; // of the process that has received it
     };
 
     bool can_reach(int executor) const;
@@ -133,7 +139,7 @@
     // Sends a request to the executor and its answer back, subject to network faults.
     void send(const work::executor_info& to, common::milliseconds timeout,
               const std::function<std::function<void()>(simulated_executor&)>& execute,
-              const std::function<void()>& on_timeout);
+              const std::function<void(work::order_status)>& on_failure);
     // Runs `work` now, or when this holder wakes up; never if it was killed.
     void deliver(std::function<void()> work);
     void tick();
--- a/source/unit_tests/cells/simulated_fleet.cpp
+++ b/source/unit_tests/cells/simulated_fleet.cpp
@@ -38,6 +38,7 @@
             const double rate = 0.98 + 0.02 * static_cast<double>(m_random() % 100) / 100;
             m_executors.push_back(std::make_unique<cell::simulated_executor>(info, rate));
             m_executor_domains.push_back(domain);
+            m_crashes_seen.push_back(0);
         }
     }
 }
@@ -128,8 +129,24 @@
         return;
     }
     m_advanced_to = m_time.now();
-    for (const auto& it : m_executors) {
-        it->advance(m_advanced_to);
+    for (int i = 0; i < executors(); i++) {
+        auto& it = *m_executors[i];
+        const auto seen = m_crashes_seen[i];
+        it.advance(m_advanced_to);
+        m_budget.count_crashes(it, m_crashes_seen[i]);
+        if (m_crashes_seen[i] != seen) {
+            note("a task of " + it.crashed_by().back().job + " crashes " + it.info().id);
+            break_connections(i);
+        }
+    }
+}
+
+void simulated_fleet::note_started(const work::task_id& task) {
+    m_has_started = true;
+    if (m_budget.note_start(task)) {
+        violations.push_back("started too often after three crashes: " + task.job + " task " +
+                             std::to_string(task.index));
+        note("VIOLATION: " + violations.back());
     }
 }
 
@@ -153,12 +170,16 @@
 void simulated_fleet::crash_executor(int i) {
     note("crash of " + m_executors[i]->info().id);
     m_executors[i]->crash(m_time.now());
+    break_connections(i);
+}
+
+void simulated_fleet::break_connections(int executor) {
     for (const auto& it : m_awaited_ends) {
-        if (it.executor == i) {
+        if (it.executor == executor) {
             it.on_crash();
         }
     }
-    std::erase_if(m_awaited_ends, [i](const auto& it) { return it.executor == i; });
+    std::erase_if(m_awaited_ends, [=](const auto& it) { return it.executor == executor; });
 }
 
 std::map<work::task_id, std::set<std::string>> simulated_fleet::runs_by_task() const {
--- a/source/unit_tests/cells/simulated_fleet.h
+++ b/source/unit_tests/cells/simulated_fleet.h
@@ -5,6 +5,7 @@
 #include <set>
 
 #include "stand_ins/users_platform/simulated_executor.h"
+#include "unit_tests/cell/crash_budget.h"
 #include "unit_tests/cells/simulated_callers.h"
 #include "unit_tests/cells/simulated_entry.h"
 
@@ -44,6 +45,7 @@
     int executor_domain(int i) const { return m_executor_domains.at(i); }
     // Restarts the executor with all state lost; breaks the connections to it.
     void crash_executor(int i);
+    const cell::crash_budget& budget() const { return m_budget; }
     // Domains with a run of the job now.
     std::set<int> domains_running(const std::string& job) const;
     order_faults& orders_between(int slot, int executor) { return m_orders[{slot, executor}]; }
@@ -72,7 +74,7 @@
     void note(const std::string& line);
 
     // Called by simulated_orders.
-    void note_started() { m_has_started = true; }
+    void note_started(const work::task_id& task);
     // Calls back when the executor has ended runs to report, or when its process has crashed.
     void await_end(int executor, std::function<void()> on_end, std::function<void()> on_crash);
 
@@ -86,6 +88,7 @@
     void start_entry(int slot);
     void add_executors();
     void advance_executors();
+    void break_connections(int executor);
     void check();
     std::map<work::task_id, std::set<std::string>> runs_by_task() const;
     void call_back_on_ends();
@@ -104,7 +107,9 @@
     std::vector<awaited_end> m_awaited_ends;
     std::uint64_t m_next_incarnation = 1;
     common::time_point m_advanced_to;
-    bool m_has_started = false;                                // a run, since the last check
+    bool m_has_started = false; // a run, since the last check
+    cell::crash_budget m_budget;
+    std::vector<std::size_t> m_crashes_seen;                   // by executor
     std::map<work::task_id, common::time_point> m_overlapping; // with two runs now; since when
 };
 
--- a/source/unit_tests/cells/simulated_orders.cpp
+++ b/source/unit_tests/cells/simulated_orders.cpp
@@ -24,7 +24,7 @@
 } // namespace
 
 void simulated_orders::send(const work::executor_info& to, bool is_stop, milliseconds time,
-                            const execution& execute, const answer& on_timeout) {
+                            const execution& execute, const failure_handler& on_failure) {
     const int number = executor_number(to);
     const auto& faults = m_fleet.orders_between(m_owner.slot(), number);
     auto roll = m_fleet.pick(1000);
@@ -49,7 +49,10 @@
             if (executor.current_report().start_time_ms != start_time_ms) {
                 return;
             }
-            const auto reply = execute(executor);
+            const auto reply =
+                executor.is_down()
+                    ? answer([=] { on_failure(work::order_status::connection_refused); })
+                    : execute(executor);
             const bool is_cut = m_fleet.orders_between(m_owner.slot(), number).cuts_answers;
             if (is_late || loses_answer || is_cut) {
                 return;
@@ -65,7 +68,7 @@
     }
     m_owner.after(cell::limits().order_timeout, [=] {
         if (!std::exchange(*is_answered, true)) {
-            on_timeout();
+            on_failure(work::order_status::no_answer);
         }
     });
 }
@@ -78,14 +81,14 @@
             const auto reply = it.start(order, m_fleet.actual_run(job, order.run.task));
             if (reply.status == work::order_status::accepted) {
                 m_fleet.starts++;
-                m_fleet.note_started();
+                m_fleet.note_started(order.run.task);
             }
             m_fleet.note(id + " start by " + m_owner.name() + " " + run_text(order.run) +
                          " status " + std::to_string(static_cast<int>(reply.status)));
             return [this, id, order, reply] { m_manager->on_start_reply(id, order.run, reply); };
         },
-        [this, id = at.id, order] {
-            m_manager->on_start_reply(id, order.run, {work::order_status::no_answer, std::nullopt});
+        [this, id = at.id, order](work::order_status failure) {
+            m_manager->on_start_reply(id, order.run, {failure, std::nullopt});
         });
 }
 
@@ -98,8 +101,8 @@
                          " status " + std::to_string(static_cast<int>(reply.status)));
             return [this, id, order, reply] { m_manager->on_stop_reply(id, order.run, reply); };
         },
-        [this, id = at.id, order] {
-            m_manager->on_stop_reply(id, order.run, {work::order_status::no_answer, std::nullopt});
+        [this, id = at.id, order](work::order_status failure) {
+            m_manager->on_stop_reply(id, order.run, {failure, std::nullopt});
         });
 }
 
@@ -113,6 +116,11 @@
     const bool loses_answer = !is_lost && roll < faults.lost_requests + faults.lost_answers;
     if (!is_lost) {
         m_fleet.time().after(one_way_delay, [=, this] {
+            if (m_fleet.executor(number).is_down()) {
+                fail_report(number, is_answered, request.number,
+                            work::order_status::connection_refused);
+                return;
+            }
             const auto [status, report] = m_fleet.executor(number).report(request);
             if (status != work::order_status::accepted) {
                 m_fleet.time().after(one_way_delay, [=, this, status = status] {
@@ -140,7 +148,8 @@
             };
             m_fleet.await_end(number, reply_once, [=, this] {
                 if (std::exchange(*is_awaited, false)) {
-                    fail_report(number, is_answered, request.number);
+                    fail_report(number, is_answered, request.number,
+                                work::order_status::connection_lost);
                 }
             });
             m_fleet.time().after(request.wait, reply_once);
@@ -153,17 +162,16 @@
     });
 }
 
-// The executor's machine resets the connection.
+// The executor's machine resets the connection, or refuses it.
 void simulated_orders::fail_report(int executor, const std::shared_ptr<bool>& is_answered,
-                                   std::uint64_t number) {
+                                   std::uint64_t number, work::order_status failure) {
     if (m_fleet.orders_between(m_owner.slot(), executor).cuts_answers) {
         return;
     }
     m_fleet.time().after(one_way_delay, [=, this] {
         m_owner.deliver([=, this] {
             if (!std::exchange(*is_answered, true)) {
-                m_manager->on_report(m_fleet.executor(executor).info().id, number,
-                                     work::order_status::no_answer, {});
+                m_manager->on_report(m_fleet.executor(executor).info().id, number, failure, {});
             }
         });
     });
--- a/source/unit_tests/cells/simulated_orders.h
+++ b/source/unit_tests/cells/simulated_orders.h
@@ -38,16 +38,18 @@
 
 private:
     using answer = std::function<void()>;
+    using failure_handler = std::function<void(work::order_status)>;
     // Carries out an order and returns what its answer does on arrival.
     using execution = std::function<answer(cell::simulated_executor&)>;
 
     // `time`: how long the executor takes for it.
     void send(const work::executor_info& to, bool is_stop, common::milliseconds time,
-              const execution& execute, const answer& on_timeout);
+              const execution& execute, const failure_handler& on_failure);
     void answer_report(int executor, const std::shared_ptr<bool>& is_answered, std::uint64_t number,
                        bool is_lost);
 
-    void fail_report(int executor, const std::shared_ptr<bool>& is_answered, std::uint64_t number);
+    void fail_report(int executor, const std::shared_ptr<bool>& is_answered, std::uint64_t number,
+                     work::order_status failure);
 
     simulated_fleet& m_fleet;
     simulated_entry& m_owner;
