--- /dev/null
+++ b/source/unit_tests/cell/deadly_tasks_test.cpp
@@ -0,0 +1,90 @@
+// Incident 34 (docs/incidents/deadly-tasks.md): tasks that crash the executors that start them, in
+// one cell.
+#include <gtest/gtest.h>
+
+#include "unit_tests/cell/jobs.h"
+#include "unit_tests/cell/simulated_cell.h"
+
+namespace savorytrail::cell {
+namespace {
+
+using common::milliseconds;
+
+constexpr work::resources capacity{64000, 131072, 0};
+constexpr milliseconds settle_time{300};
+constexpr milliseconds down_time{3000};
+constexpr milliseconds time_to_crash{10};
+
+// A cell in which the first task of each job whose id begins with "deadly" crashes its executor.
+class deadly_cell {
+public:
+    deadly_cell(std::uint64_t seed, int executors)
+        : cell(seed, executors, capacity, 1), m_executors(executors) {
+        cell.is_tracing = true;
+        for (int i = 0; i < executors; i++) {
+            cell.executor(i).down_time = down_time;
+        }
+        cell.actual_run = [this](const work::job& job, const work::task_id& task) {
+            const auto& step = job.steps.at(task.step);
+            simulated_executor::simulated_task it{step.task_resources, step.estimate, false};
+            if (job.id.starts_with("deadly") && task.index == 0) {
+                it.crashes_after = crash_delay;
+            }
+            return it;
+        };
+        cell.at(0).assign(cell.executor_infos());
+        cell.run_for(settle_time);
+    }
+
+    void submit(const work::job& job) {
+        cell.at(0).submit(job, [this, id = job.id](const work::outcome& it) { ends[id] = it; });
+    }
+
+    int crashes() {
+        int sum = 0;
+        for (int i = 0; i < m_executors; i++) {
+            sum += static_cast<int>(cell.executor(i).crashed_by().size());
+        }
+        return sum;
+    }
+
+    std::string trace_text() const {
+        std::string text;
+        for (const auto& line : cell.trace) {
+            text += "\n" + line;
+        }
+        return text;
+    }
+
+    simulated_cell cell;
+    milliseconds crash_delay = time_to_crash;
+    std::map<std::string, work::outcome> ends;
+
+private:
+    const int m_executors;
+};
+
+work::job patient_job(const std::string& id, int tasks, milliseconds estimate) {
+    auto job = make_job(id, tasks, estimate);
+    job.patience = milliseconds(30000);
+    job.queue.stretch = 200; // an answer in seconds is still on time
+    return job;
+}
+
+class deadly_tasks : public testing::TestWithParam<std::uint64_t> {};
+
+// Guards against a task that crashes executor after executor while its caller waits.
+TEST_P(deadly_tasks, fails_the_job_after_two_crashes) {
+    deadly_cell it(GetParam(), 12);
+    it.submit(patient_job("deadly", 3, milliseconds(100)));
+    it.cell.run_for(milliseconds(15000));
+    EXPECT_TRUE(it.cell.violations.empty()) << it.cell.violations.front() << it.trace_text();
+    EXPECT_EQ(it.crashes(), 2) << it.trace_text();
+    ASSERT_TRUE(it.ends.contains("deadly")) << it.trace_text();
+    EXPECT_EQ(it.ends["deadly"].end, work::job_end::failed);
+}
+
+INSTANTIATE_TEST_SUITE_P(seeds, deadly_tasks, testing::Range<std::uint64_t>(1, 6));
+
+} // namespace
+} // namespace savorytrail::cell
