--- a/source/core/cell/admission.cpp
+++ b/source/core/cell/admission.cpp
@@ -35,6 +35,8 @@
         return "patience";
     case refusal_cause::not_renewed:
         return "not_renewed";
+    case refusal_cause::crash_risk:
+        return "crash_risk";
     case refusal_cause::suspended:
         return "suspended";
     case refusal_cause::no_dispatcher:
--- a/source/core/cell/admission.h
+++ b/source/core/cell/admission.h
@@ -38,6 +38,7 @@
     patience,      // its caller's patience ended
     not_renewed,   // the entry of its caller does not confirm that the caller waits
     suspended,     // this VM stood still
+    crash_risk,    // executors have crashed under one of its tasks, and no other may be risked
     no_dispatcher, // no dispatcher can be reached
     no_cell,       // no cell has room, or a backlog that the job could wait for
 };
--- a/source/core/cell/dispatcher.cpp
+++ b/source/core/cell/dispatcher.cpp
@@ -97,6 +97,10 @@
         return ticket;
     }
     job_record record(m_durations.with_predicted_durations(job), job, m_limits, m_clock.now());
+    if (const auto* task = find_proven_task(record)) {
+        first.done(crashed_outcome(record, *task));
+        return ticket;
+    }
     const auto view = view_for(record);
     const auto count_room = [&] { return room_of(record); };
     if (const auto refusal = m_admission.check(record, view, count_room, m_clock.now())) {
@@ -350,12 +354,14 @@
     const bool is_overloaded = capacity > 0 && m_admission.is_overloaded(capacity, now);
     return_stranded_jobs(now);
     note_interference(m_interference.tick(now));
+    end_probations(now);
     bool has_waiting_tasks = false;
     bool waits_for_cores = false;
     bool has_held_back_jobs = false;
     for (auto it = m_jobs.begin(); it != m_jobs.end();) {
         const auto job = it++;
-        if (remove_unrenewed_waiters(job, now) || (has_drained && leave_drained(job))) {
+        if (remove_unrenewed_waiters(job, now) || (has_drained && leave_drained(job)) ||
+            give_up_late_suspect(job)) {
             continue;
         }
         // What is held back leaves capacity free on purpose, which says nothing about utilization.
@@ -397,7 +403,7 @@
     const auto& executors = m_executor_manager.executors();
     return std::any_of(job.tasks().begin(), job.tasks().end(), [&](const task_record& task) {
         const auto& step = job.step_of(task);
-        return task.state == task_state::waiting && !task.awaits_faster_executor &&
+        return task.state == task_state::waiting && !task.is_withheld &&
                step.max_per_executor == 0 &&
                std::all_of(executors.begin(), executors.end(), [&](const auto& it) {
                    return is_eligible(step, job.job().queue.upstream, it.second->info);
@@ -463,6 +469,7 @@
     std::stable_sort(order.begin(), order.end(),
                      [](const auto& a, const auto& b) { return a.first < b.first; });
     m_starter.begin_round();
+    std::vector<job_record*> with_suspects;
     for (const auto& [job_rank, job] : order) {
         const int priority = job->job().queue.priority;
         if (is_held_back(*job, now)) {
@@ -478,7 +485,11 @@
         if (m_limits.reserves_capacity && job->has_waiting() && lacks_only_free_capacity(*job)) {
             m_reservation.note_shortage(priority, now);
         }
+        if (has_waiting_suspect(*job)) {
+            with_suspects.push_back(job);
+        }
     }
+    start_suspects(with_suspects);
     m_reservation.end_pass();
     m_is_dispatching = false;
 }
@@ -534,6 +545,10 @@
 void dispatcher::on_run_ended(const work::run_key& run, const std::string& executor,
                               const run_outcome& outcome) {
     m_interference.note_end(executor, run, m_clock.now());
+    m_crash_risk.note_end(run);
+    if (outcome.result == run_result::done || outcome.result == run_result::failed) {
+        m_crashes.note_survived(run.task);
+    }
     if (m_stopping_runs.contains(run.task)) {
         note_stopped_run(run.task, outcome.result);
         return;
--- a/source/core/cell/dispatcher.h
+++ b/source/core/cell/dispatcher.h
@@ -10,6 +10,8 @@
 #include "core/cell/admission.h"
 #include "core/cell/capacity_meter.h"
 #include "core/cell/cell_load.h"
+#include "core/cell/crash_history.h"
+#include "core/cell/crash_risk.h"
 #include "core/cell/duration_model.h"
 #include "core/cell/executor_manager.h"
 #include "core/cell/executor_speed.h"
@@ -89,6 +91,11 @@
     // Removes the ticket's waiter. A job without waiters is stopped.
     void abandon(std::uint64_t ticket);
 
+    // What this cell knows of tasks that crash executors, and what other cells tell of it. Returns
+    // how many of the records were ignored.
+    const crash_history& crashes() const { return m_crashes; }
+    std::size_t learn_crashes(const std::vector<fleet::task_crashes>& records);
+
     // Gives up jobs that cannot be answered in time, and waiters whose lease is about to end; call
     // about every 50 ms.
     void tick();
@@ -102,6 +109,8 @@
 
     void on_run_ended(const work::run_key& run, const std::string& executor,
                       const run_outcome& outcome) override;
+    void on_executor_crashed(const executor_crash& it) override;
+    void on_crash_refuted(const std::string& executor, std::int64_t start_time_ms) override;
     void on_suspended() override;
     void on_run_duration(const work::run_key& run, const work::executor_info& executor,
                          common::milliseconds took) override;
@@ -147,6 +156,19 @@
     void note_stopped_run(const work::task_id& task, run_result result);
     void on_failure(job_list::iterator job, task_record& task);
     void on_lost(job_record& job, task_record& task, loss_cause cause);
+    // A task of the job that must not be started any more; nullptr if there is none.
+    const task_record* find_proven_task(const job_record& job) const;
+    // Returns whether the job was closed, as one of its tasks crashes executors.
+    bool fail_if_proven(job_list::iterator job);
+    work::outcome crashed_outcome(const job_record& job, const task_record& task) const;
+    bool has_waiting_suspect(const job_record& job) const;
+    // Whether the executor of a suspect's run has crashed, and the run has not ended for certain.
+    bool has_crashed_suspect(const job_record& job) const;
+    // Starts suspects of these jobs, the first ones first, while executors may be put at risk.
+    void start_suspects(const std::vector<job_record*>& jobs);
+    // Closes a job whose suspect can't start in time. Returns whether it was closed.
+    bool give_up_late_suspect(job_list::iterator job);
+    void end_probations(common::time_point now);
     // Whether tasks wait only because too few cores are free, so that the executors' utilization
     // shows how far they can be used.
     bool is_waiting_for_cores(const job_record& job) const;
@@ -181,8 +203,10 @@
     room_reservation m_reservation;
     std::vector<int> m_contended_levels; // as last told to the observer
     interference m_interference;
-    task_starter m_starter{m_limits,    m_clock,  m_executor_manager, m_stopping_runs,
-                           m_durations, m_speeds, m_packing,          m_interference};
+    crash_history m_crashes;
+    crash_risk m_crash_risk;
+    task_starter m_starter{m_limits, m_clock,   m_executor_manager, m_stopping_runs, m_durations,
+                           m_speeds, m_packing, m_interference,     m_crashes};
     admission m_admission{fair_limits()};
     capacity_meter m_capacity_meter;
     common::time_point m_had_capacity_at;
--- a/source/core/cell/dispatcher_reservation.cpp
+++ b/source/core/cell/dispatcher_reservation.cpp
@@ -66,7 +66,7 @@
 bool dispatcher::lacks_only_free_capacity(const job_record& job) const {
     const auto& executors = m_executor_manager.executors();
     return std::any_of(job.tasks().begin(), job.tasks().end(), [&](const task_record& task) {
-        if (task.state != task_state::waiting || task.awaits_faster_executor ||
+        if (task.state != task_state::waiting || task.is_withheld ||
             m_stopping_runs.contains(job.id_of(task))) {
             return false;
         }
--- a/source/core/cell/executor_crashes.cpp
+++ b/source/core/cell/executor_crashes.cpp
@@ -40,15 +40,27 @@
     executor_crash crash{it.info.id, it.start_time_ms, {}};
     for (const auto& [key, run] : it.runs) {
         const auto age = std::chrono::duration_cast<milliseconds>(at - run.started_at);
-        crash.runs.push_back({key, std::max(age, milliseconds(0)), false});
+        const bool was_isolated = run.isolated_until && it.runs.size() == 1;
+        crash.runs.push_back({key, std::max(age, milliseconds(0)), was_isolated});
     }
     m_observer.executor_changed(it.info.id, "executor_crashed", describe(crash));
+    m_listener->on_executor_crashed(crash);
 }
 
 void executor_manager::note_crash_refuted(executor_record& it) {
     it.has_crashed = false;
     m_observer.executor_changed(it.info.id, "executor_crash_refuted",
                                 "the same process answers again");
+    m_listener->on_crash_refuted(it.info.id, it.start_time_ms);
+}
+
+bool executor_manager::is_confirmed(const work::run_key& run, common::time_point since) const {
+    return std::any_of(m_executors.begin(), m_executors.end(), [&](const auto& entry) {
+        const auto& it = *entry.second;
+        const auto found = it.runs.find(run);
+        return found != it.runs.end() && found->second.state == run_state::running &&
+               !it.is_unresponsive() && it.reported_at && *it.reported_at >= since;
+    });
 }
 
 void executor_manager::note_answer(executor_record& it) {
--- a/source/core/cell/executor_manager.cpp
+++ b/source/core/cell/executor_manager.cpp
@@ -210,30 +210,36 @@
 }
 
 bool executor_manager::start(const std::string& executor, const work::run_key& run,
-                             work::resources occupied, milliseconds time_limit,
-                             const std::string& payload, milliseconds expected) {
+                             const run_plan& plan) {
     auto* it = find(executor);
     if (it == nullptr || !can_start_runs() || !it->accepts_work(m_clock.now()) ||
-        !it->free().covers(occupied)) {
+        !it->free().covers(plan.occupied)) {
+        return false;
+    }
+    const bool is_isolated = plan.isolated_for > milliseconds(0);
+    if (is_isolated && !it->runs.empty()) {
         return false;
     }
     run_record record;
-    record.occupied = occupied;
-    record.payload = payload;
-    record.time_limit = time_limit;
-    record.expected = expected;
+    record.occupied = plan.occupied;
+    record.payload = plan.payload;
+    record.time_limit = plan.time_limit;
+    record.expected = plan.expected;
     record.started_at = m_clock.now();
+    if (is_isolated) {
+        record.isolated_until = m_clock.now() + plan.isolated_for;
+    }
     const auto left = std::chrono::duration_cast<milliseconds>(
         std::min(m_listener->may_run_until(run), m_clock.now() + m_limits.longest_lease) -
         m_clock.now());
     if (it->lease_until > it->clock.end_of_lease(m_clock.now(), left)) {
         return false; // it would run on with the lease that others have there
     }
-    it->used += occupied;
+    it->used += plan.occupied;
     it->runs.emplace(run, std::move(record));
     start_order order;
     order.run = run;
-    order.payload = payload;
+    order.payload = plan.payload;
     order.until_ms = next_lease_end(*it);
     order.fence = it->fence;
     note_grant(*it, order.until_ms);
@@ -470,7 +476,9 @@
     std::vector<work::run_key> expired;
     for (auto& [key, run] : it.runs) {
         note_unanswered_stop(it, key, run);
-        if (run.state == run_state::running && now - run.started_at > run.time_limit) {
+        const bool is_overdue =
+            run.state == run_state::running && now - run.started_at > run.time_limit;
+        if (is_overdue && !it.has_crashed) {
             m_observer.executor_changed(it.info.id, "executor_rested", "a run is overdue");
             it.health.note_overdue(now);
             send_stop(it, key, run);
--- a/source/core/cell/executor_manager.h
+++ b/source/core/cell/executor_manager.h
@@ -38,6 +38,10 @@
     // A run succeeded after the given duration; called before on_run_ended().
     virtual void on_run_duration(const work::run_key& run, const work::executor_info& executor,
                                  common::milliseconds took) = 0;
+    // An executor's process has ended, or seems to have; its runs end later, when that is certain.
+    virtual void on_executor_crashed(const executor_crash& it) = 0;
+    // The process that seemed to have ended answers again.
+    virtual void on_crash_refuted(const std::string& executor, std::int64_t start_time_ms) = 0;
     // Executors may have free resources again.
     virtual void on_resources_freed() = 0;
     // Until when a run that was not told to stop may go on, as far as is known now.
@@ -61,6 +65,19 @@
     executor_observer& operator=(const executor_observer&) = default;
 };
 
+// A run to be started.
+struct run_plan {
+    work::resources occupied;
+    std::string payload;
+    common::milliseconds time_limit{0}; // a run that takes longer is considered stuck
+    common::milliseconds expected{0};   // duration on that executor; 0 when unknown
+    // For how long nothing else is started there; 0: not isolated. Requires an executor without
+    // runs.
+    common::milliseconds isolated_for{0};
+
+    bool operator==(const run_plan&) const = default;
+};
+
 // Returns a fence higher than all that this entry has used, and likely higher than other holders'.
 using fence_source = std::function<std::int64_t()>;
 
@@ -94,9 +111,10 @@
     // How long what this process learns now may have waited.
     common::milliseconds longest_wait() const { return m_stalls.longest_wait(); }
 
-    bool start(const std::string& executor, const work::run_key& run, work::resources occupied,
-               common::milliseconds time_limit, const std::string& payload,
-               common::milliseconds expected = common::milliseconds(0));
+    // Returns whether the start order was sent.
+    bool start(const std::string& executor, const work::run_key& run, const run_plan& plan);
+    // Whether the executor has confirmed, at `since` or later, that the run goes on there.
+    bool is_confirmed(const work::run_key& run, common::time_point since) const;
     // Stops the run; whether or not the order is carried out, it ends by `ends_by`, or by the end
     // of the lease that it has.
     void stop(const std::string& executor, const work::run_key& run, common::time_point ends_by);
--- a/source/core/cell/executor_record.h
+++ b/source/core/cell/executor_record.h
@@ -37,6 +37,8 @@
     // Set when its job has ended: no lease is granted on the executor beyond this time.
     std::optional<common::time_point> ends_by;
     std::optional<common::time_point> stop_acknowledged_at; // later start orders are rejected
+    // Until when nothing is started beside it. It was alone there when it started.
+    std::optional<common::time_point> isolated_until;
 };
 
 enum class claim_state {
@@ -62,7 +64,8 @@
     quarantined,
     on_probation, // takes one run at a time, and has one
     overdue_run,
-    lease_ends, // a run there has to end by the expiry of the lease
+    isolated_run, // nothing may start beside a run there
+    lease_ends,   // a run there has to end by the expiry of the lease
 };
 
 struct executor_record {
@@ -122,6 +125,11 @@
         }
         return false;
     }
+    bool has_isolated_run(common::time_point now) const {
+        return std::any_of(runs.begin(), runs.end(), [now](const auto& it) {
+            return it.second.isolated_until && now < *it.second.isolated_until;
+        });
+    }
     // Whether a run there may go on, so that the lease is worth renewing.
     bool has_ongoing_run() const {
         return std::any_of(runs.begin(), runs.end(),
@@ -156,6 +164,9 @@
         if (has_overdue_run(now)) {
             return work_obstacle::overdue_run;
         }
+        if (has_isolated_run(now)) {
+            return work_obstacle::isolated_run;
+        }
         return has_run_ending_by(now + min_lease_of_start) ? work_obstacle::lease_ends
                                                            : work_obstacle::none;
     }
--- a/source/core/cell/job_record.h
+++ b/source/core/cell/job_record.h
@@ -26,9 +26,10 @@
     std::int64_t last_run_number = 0; // number of the latest run
     std::string executor;             // of the active run
     std::string avoid;                // executor of the last failed, lost or refused run
-    // It would be late where it could start. While it waits, capacity is free, so that its wait
-    // says nothing about contention or utilization.
-    bool awaits_faster_executor = false;
+    // It waits though it could start: it would be late there, or executors have crashed under it.
+    // While it waits, capacity is free, so that its wait says nothing about contention or
+    // utilization.
+    bool is_withheld = false;
 };
 
 // Somebody who waits for a job's outcome: a caller of this entry, or another entry that forwarded
--- a/source/core/cell/placement.cpp
+++ b/source/core/cell/placement.cpp
@@ -37,6 +37,9 @@
         !(it.is_in_drain_grace(now) && request.has_begun_in(it.info.failure_domain))) {
         return "drained";
     }
+    if (request.is_isolated && !it.runs.empty()) {
+        return "occupied";
+    }
     if (it.is_cold(now) && !it.runs.empty()) {
         return "cold"; // a cold executor runs one task at a time
     }
@@ -121,6 +124,8 @@
         return "on_probation";
     case work_obstacle::overdue_run:
         return "overdue_run";
+    case work_obstacle::isolated_run:
+        return "isolated_run";
     case work_obstacle::lease_ends:
         return "lease_ends";
     }
--- a/source/core/cell/placement.h
+++ b/source/core/cell/placement.h
@@ -28,6 +28,7 @@
     const work::step* step = nullptr;
     const std::string* upstream = nullptr;
     const std::string* avoid = nullptr; // chosen only if no other executor fits
+    bool is_isolated = false;           // only an executor without runs will do
     const packing* values = nullptr;    // of free capacity
     std::function<int(const std::string& executor)>
         tasks_on_executor; // active tasks of the step there, for its max_per_executor
--- a/source/core/cell/task_starter.cpp
+++ b/source/core/cell/task_starter.cpp
@@ -106,13 +106,20 @@
     return {chosen.executor == nullptr ? attempt::no_room : attempt::started, chosen.executor};
 }
 
-task_starter::attempt task_starter::start(job_record& job, task_record& task) {
+bool task_starter::is_suspect(const job_record& job, const task_record& task) const {
+    return !m_crashes.is_empty() && m_crashes.is_suspect(job.id_of(task));
+}
+
+task_starter::attempt task_starter::start(job_record& job, task_record& task,
+                                          milliseconds isolated_for) {
     const auto id = job.id_of(task);
     if (m_stopping_runs.contains(id)) {
         return attempt::no_room;
     }
+    auto request = request_for(job, task, nullptr);
+    request.is_isolated = isolated_for > milliseconds(0);
     const auto [result, executor] =
-        choose_executor(request_for(job, task, nullptr), m_executor_manager.executors(), m_awaited);
+        choose_executor(request, m_executor_manager.executors(), m_awaited);
     if (executor == nullptr) {
         return result;
     }
@@ -122,8 +129,9 @@
     const auto& info = m_executor_manager.executors().at(*executor)->info;
     const double speed = m_speeds.current_speed(info);
     const auto expected = scaled(step.estimate, 1 / speed);
-    if (!m_executor_manager.start(*executor, {id, task.last_run_number}, step.task_resources,
-                                  time_limit(job, task), job.job().payload, expected)) {
+    const run_plan plan{step.task_resources, job.job().payload, time_limit(job, task), expected,
+                        isolated_for};
+    if (!m_executor_manager.start(*executor, {id, task.last_run_number}, plan)) {
         task.last_run_number--;
         return attempt::no_room;
     }
@@ -173,12 +181,12 @@
 void task_starter::for_each_waiting(job_record& job, const Start& start) {
     std::optional<int> full_step; // tasks of a step have equal requirements
     for (auto& task : job.tasks()) {
-        task.awaits_faster_executor = false;
+        task.is_withheld = false;
         if (task.state != task_state::waiting || task.step == full_step) {
             continue;
         }
         const auto result = start(task);
-        task.awaits_faster_executor = result == attempt::held;
+        task.is_withheld = result == attempt::held;
         if (result == attempt::no_room) {
             full_step = task.step;
         }
@@ -188,7 +196,10 @@
 std::vector<const task_record*> task_starter::start_waiting_tasks(job_record& job) {
     std::vector<const task_record*> started;
     for_each_waiting(job, [&](task_record& task) {
-        const auto result = start(job, task);
+        if (is_suspect(job, task)) {
+            return attempt::held;
+        }
+        const auto result = start(job, task, milliseconds(0));
         if (result == attempt::started) {
             started.push_back(&task);
         }
@@ -197,6 +208,18 @@
     return started;
 }
 
+const task_record* task_starter::start_suspect(job_record& job) {
+    for (auto& task : job.tasks()) {
+        if (task.state != task_state::waiting || !is_suspect(job, task)) {
+            continue;
+        }
+        if (start(job, task, m_crashes.probation(job.id_of(task))) == attempt::started) {
+            return &task;
+        }
+    }
+    return nullptr;
+}
+
 std::vector<planned_task> task_starter::plan_waiting_tasks(job_record& job, start_plan& plan,
                                                            bool with_options) const {
     std::vector<planned_task> list;
@@ -206,6 +229,9 @@
         if (m_stopping_runs.contains(id)) {
             return attempt::no_room;
         }
+        if (is_suspect(job, task)) {
+            return attempt::held;
+        }
         const auto request = request_for(job, task, &plan);
         planned_task planned;
         planned.step = task.step;
--- a/source/core/cell/task_starter.h
+++ b/source/core/cell/task_starter.h
@@ -8,6 +8,7 @@
 #include <utility>
 #include <vector>
 
+#include "core/cell/crash_history.h"
 #include "core/cell/duration_model.h"
 #include "core/cell/executor_manager.h"
 #include "core/cell/executor_speed.h"
@@ -44,16 +45,22 @@
 public:
     task_starter(const limits& by, const common::clock& clock, executor_manager& manager,
                  const stopping_runs& stopping, const duration_model& durations,
-                 const executor_speeds& speeds, const packing& values, interference& neighbours)
+                 const executor_speeds& speeds, const packing& values, interference& neighbours,
+                 const crash_history& crashes)
         : m_limits(by), m_clock(clock), m_executor_manager(manager), m_stopping_runs(stopping),
-          m_durations(durations), m_speeds(speeds), m_packing(values), m_interference(neighbours) {}
+          m_durations(durations), m_speeds(speeds), m_packing(values), m_interference(neighbours),
+          m_crashes(crashes) {}
 
     // To be called before the waiting jobs are gone through, the first ones first.
     void begin_round() { m_awaited.clear(); }
-    // Starts as many of the job's waiting tasks as there is room for now, and returns them.
+    // Starts as many of the job's waiting tasks as there is room for now, and returns them;
+    // suspects of crashes are left out.
     std::vector<const task_record*> start_waiting_tasks(job_record& job);
-    // The same on a plan: changes only the plan and the job, which is to be a copy. Lists options
-    // only for jobs `with_options`.
+    // Starts one waiting task of the job that is suspected of crashes, on an executor without runs;
+    // returns nullptr if there is none.
+    const task_record* start_suspect(job_record& job);
+    // start_waiting_tasks() on a plan: changes only the plan and the job, which is to be a copy.
+    // Lists options only for jobs `with_options`.
     std::vector<planned_task> plan_waiting_tasks(job_record& job, start_plan& plan,
                                                  bool with_options) const;
     // Whether any waiting task of the job fits an executor whose failure domain lets it start.
@@ -63,7 +70,9 @@
     bool has_begun_in(const job_record& job, const std::string& domain) const;
     enum class attempt { started, no_room, held };
 
-    attempt start(job_record& job, task_record& task);
+    bool is_suspect(const job_record& job, const task_record& task) const;
+    // `isolated_for`: see run_plan.
+    attempt start(job_record& job, task_record& task, common::milliseconds isolated_for);
     // Calls start(task) for the job's waiting tasks while there is room.
     template <typename Start>
     static void for_each_waiting(job_record& job, const Start& start);
@@ -87,6 +96,7 @@
     std::vector<const std::string*> m_awaited;
     const packing& m_packing;
     interference& m_interference;
+    const crash_history& m_crashes;
 };
 
 } // namespace savorytrail::cell
--- a/source/core/fleet/heartbeat.cpp
+++ b/source/core/fleet/heartbeat.cpp
@@ -105,6 +105,14 @@
         item->set_log_slowdown_thousandths(to_thousandths(pair.log_slowdown));
         item->set_weight(pair.weight);
     }
+    for (const auto& crashes : it.crashes) {
+        auto* item = message.add_crashes();
+        item->set_task(crashes.task);
+        item->mutable_executors()->Add(crashes.executors.begin(), crashes.executors.end());
+        item->set_age_ms(to_message(crashes.age));
+        item->set_is_suspect(crashes.is_suspect);
+        item->set_is_proven(crashes.is_proven);
+    }
 }
 
 shared_state shared_from(const schema::entry_heartbeat& message) {
@@ -121,6 +129,13 @@
         it.interference.push_back({item.kind(), item.neighbour(),
                                    item.log_slowdown_thousandths() / log_scale, item.weight()});
     }
+    for (const auto& item : message.crashes()) {
+        it.crashes.push_back({item.task(),
+                              {item.executors().begin(), item.executors().end()},
+                              milliseconds(item.age_ms()),
+                              item.is_suspect(),
+                              item.is_proven()});
+    }
     return it;
 }
 
--- a/source/core/fleet/shared_state.h
+++ b/source/core/fleet/shared_state.h
@@ -44,10 +44,22 @@
     bool operator==(const interfering_pair&) const = default;
 };
 
+// Processes of executors that crashed while they ran a task.
+struct task_crashes {
+    std::uint64_t task = 0;               // a hash of its id
+    std::vector<std::uint64_t> executors; // hashes of the processes
+    common::milliseconds age{0};          // since the latest crash
+    bool is_suspect = false;
+    bool is_proven = false;
+
+    bool operator==(const task_crashes&) const = default;
+};
+
 struct shared_state {
     drain_state drains;
     std::vector<kind_speed> kind_speeds;
     std::vector<interfering_pair> interference;
+    std::vector<task_crashes> crashes;
 
     bool operator==(const shared_state&) const = default;
 };
--- a/source/unit_tests/cell/deadly_tasks_test.cpp
+++ b/source/unit_tests/cell/deadly_tasks_test.cpp
@@ -84,6 +84,79 @@
     EXPECT_EQ(it.ends["deadly"].end, work::job_end::failed);
 }
 
+// Guards against innocent tasks that fail, or are lost again and again, as they ran beside a task
+// that crashes executors.
+TEST_P(deadly_tasks, cost_others_one_run_at_most) {
+    deadly_cell it(GetParam(), 12);
+    for (int i = 0; i < 4; i++) {
+        it.submit(patient_job("innocent-" + std::to_string(i), 6, milliseconds(300)));
+    }
+    it.cell.run_for(milliseconds(20));
+    it.submit(patient_job("deadly", 3, milliseconds(100)));
+    it.cell.run_for(milliseconds(15000));
+    EXPECT_EQ(it.crashes(), 2) << it.trace_text();
+    EXPECT_EQ(it.ends["deadly"].end, work::job_end::failed);
+    for (int i = 0; i < 4; i++) {
+        EXPECT_EQ(it.ends["innocent-" + std::to_string(i)].end, work::job_end::succeeded)
+            << it.trace_text();
+    }
+}
+
+// Guards against a task that is blamed for crashes of executors by themselves.
+TEST_P(deadly_tasks, are_told_from_executors_that_crash_by_themselves) {
+    deadly_cell it(GetParam(), 12);
+    it.submit(patient_job("innocent", 4, milliseconds(400)));
+    it.cell.run_for(milliseconds(50));
+    for (int i = 0; i < 6; i++) {
+        it.cell.executor(i).crash(it.cell.now());
+    }
+    it.cell.run_for(milliseconds(15000));
+    ASSERT_TRUE(it.ends.contains("innocent")) << it.trace_text();
+    EXPECT_EQ(it.ends["innocent"].end, work::job_end::succeeded);
+}
+
+// Guards against crashes of many executors at once by many suspects that start together.
+TEST_P(deadly_tasks, take_few_executors_at_a_time_once_suspected) {
+    deadly_cell it(GetParam(), 12);
+    constexpr int jobs = 4;
+    for (int i = 0; i < jobs; i++) {
+        it.submit(patient_job("deadly-" + std::to_string(i), 1, milliseconds(100)));
+        it.cell.run_for(milliseconds(30));
+    }
+    it.cell.run_for(milliseconds(2500));
+    EXPECT_LE(it.crashes(), jobs + 1) << it.trace_text(); // each once, and one as a suspect
+    it.cell.run_for(milliseconds(25000));
+    EXPECT_EQ(it.crashes(), 2 * jobs) << it.trace_text();
+    for (int i = 0; i < jobs; i++) {
+        EXPECT_EQ(it.ends["deadly-" + std::to_string(i)].end, work::job_end::failed);
+    }
+}
+
+// Guards against a caller who waits for a suspect that cannot be started in time.
+TEST_P(deadly_tasks, are_given_up_at_once_when_no_executor_can_be_put_at_risk) {
+    deadly_cell it(GetParam(), 12);
+    it.submit(patient_job("deadly-0", 1, milliseconds(100)));
+    auto impatient = make_job("deadly-1", 1, milliseconds(100));
+    impatient.queue.stretch = 20;
+    it.cell.run_for(milliseconds(1300));
+    it.submit(impatient);
+    it.cell.run_for(milliseconds(200));
+    ASSERT_EQ(it.crashes(), 3) << it.trace_text();
+    ASSERT_TRUE(it.ends.contains("deadly-1")) << it.trace_text();
+    EXPECT_EQ(it.ends["deadly-1"].end, work::job_end::given_up);
+}
+
+// Guards against a silent executor that is taken for crashed.
+TEST_P(deadly_tasks, are_not_suspected_when_an_executor_is_only_silent) {
+    deadly_cell it(GetParam(), 4);
+    it.submit(patient_job("innocent", 4, milliseconds(400)));
+    it.cell.run_for(milliseconds(50));
+    it.cell.executor(0).is_reachable = false;
+    it.cell.executor(1).is_reachable = false;
+    it.cell.run_for(milliseconds(3000));
+    EXPECT_TRUE(it.cell.at(0).jobs().crashes().is_empty()) << it.trace_text();
+}
+
 INSTANTIATE_TEST_SUITE_P(seeds, deadly_tasks, testing::Range<std::uint64_t>(1, 6));
 
 } // namespace
--- a/source/unit_tests/cells/simulated_entry.cpp
+++ b/source/unit_tests/cells/simulated_entry.cpp
@@ -198,6 +198,9 @@
 
 void simulated_entry::send_heartbeats() {
     m_view.set_status(own_status());
+    auto shared = m_view.shared();
+    shared.crashes = m_dispatcher.crashes().to_share(now());
+    m_view.set_shared(std::move(shared));
     for (const auto& out : m_heartbeats.due(held_keys(), now())) {
         m_fleet.network().send_datagram(*this, out.to, encode(out.content));
     }
@@ -226,6 +229,7 @@
         return;
     }
     const auto learnt = m_view.receive(*it, from.host, now());
+    m_dispatcher.learn_crashes(it->shared.crashes);
     for (const auto& restarted : learnt.restarted) {
         m_fleet.note(name() + " entry_lost " + restarted + ", restarted");
         m_gateway.on_entry_lost(restarted);
