Tasks lost in a crash start again when their lease has ended

Callers whose tasks ran beside a crash waited 1.2 s for another run: a grant that nobody had confirmed might have reached a restarted process, which grants its longest lease by its own clock.

--- a/source/core/cell/executor_manager.cpp
+++ b/source/core/cell/executor_manager.cpp
@@ -10,6 +10,8 @@
 
 // A run counts as expired this long after its lease's end by the estimate of the executor's clock.
 constexpr std::int64_t lease_end_margin_ms = 30;
+// Differences between the clocks' rates while an order is under way.
+constexpr std::int64_t clock_reading_margin_ms = 2;
 // Delay until an unacknowledged stop order is resent.
 constexpr milliseconds stop_retry{200};
 // A stop order that has had no answer for longer is logged.
@@ -163,14 +165,20 @@
     it.is_grant_confirmed = false;
 }
 
-bool executor_manager::has_lease_expired(const executor_record& it) const {
+bool executor_manager::is_of_known_process(const executor_record& it, const run_record& run,
+                                           const work::order_reply& reply) const {
+    return reply.clock_ms && run.starts_sent == 1 && it.clock.is_known() &&
+           *reply.clock_ms + clock_reading_margin_ms >= it.clock.estimate(run.started_at);
+}
+
+bool executor_manager::has_lease_expired(const executor_record& it, const run_record& run) const {
     const auto now = m_clock.now();
     if (it.clock.estimate(now) <= it.lease_until + lease_end_margin_ms) {
         return false;
     }
     // A restarted process grants its longest lease from when it receives the order.
     const auto longest = executor_clock::longest(m_limits.longest_lease) + m_limits.order_timeout;
-    return it.is_grant_confirmed || now > it.granted_at + longest;
+    return run.is_of_known_process || it.is_grant_confirmed || now > it.granted_at + longest;
 }
 
 void executor_manager::request_report(executor_record& it, milliseconds wait) {
@@ -380,6 +388,10 @@
         return;
     }
     const auto now = m_clock.now();
+    const auto found = it->runs.find(run);
+    if (found != it->runs.end() && reply.status == order_status::accepted) {
+        found->second.is_of_known_process = is_of_known_process(*it, found->second, reply);
+    }
     if (reply.clock_ms) {
         it->clock.observe(*reply.clock_ms, now);
     }
@@ -387,7 +399,6 @@
         lose_claim(*it, higher_fence);
     }
     note_contact(*it, reply.status);
-    const auto found = it->runs.find(run);
     if (found == it->runs.end()) {
         return;
     }
@@ -486,7 +497,7 @@
                    run.stop_sent_at && now - *run.stop_sent_at > stop_retry) {
             send_stop(it, key, run);
         }
-        if (has_lease_expired(it)) {
+        if (has_lease_expired(it, run)) {
             expired.push_back(key);
         }
     }
--- a/source/core/cell/executor_manager.h
+++ b/source/core/cell/executor_manager.h
@@ -174,8 +174,12 @@
     common::time_point all_may_run_until(const executor_record& it) const;
     // To be called with each order that carries the end of a lease.
     void note_grant(executor_record& it, std::int64_t until) const;
-    // Whether no run of this entry can be left there.
-    bool has_lease_expired(const executor_record& it) const;
+    // Whether the run can't be left there.
+    bool has_lease_expired(const executor_record& it, const run_record& run) const;
+    // Whether the reply comes from the process whose clock is known: another one, started since,
+    // would read less.
+    bool is_of_known_process(const executor_record& it, const run_record& run,
+                             const work::order_reply& reply) const;
 
     const limits m_limits;
     const common::clock& m_clock;
--- a/source/core/cell/executor_record.h
+++ b/source/core/cell/executor_record.h
@@ -29,7 +29,10 @@
     common::milliseconds expected{0};   // duration on this executor; 0 when unknown
     run_state state = run_state::starting;
     common::time_point started_at;
-    int starts_sent = 1;                                  // 2 after a resend
+    int starts_sent = 1; // 2 after a resend
+    // The process whose clock is known has confirmed its only start order, so that no other process
+    // of the executor can have it.
+    bool is_of_known_process = false;
     common::time_point confirmed_at;                      // valid in state `running`
     std::optional<common::time_point> stop_sent_at;       // latest
     std::optional<common::time_point> stop_first_sent_at; // for the log
