Executors that crash by themselves hold up no innocent task

Where no run had just started, all runs on a crashed executor were suspected, and tested one after the other alone, though most such crashes are the executor's own. They are now suspected with a second crash only; a task that crashes executors late in its runs is proven by its third one. A suspect is cleared when its executor answers, not only with its next report.

Tests: late crashes, draining executors, the wait after a crash.

--- a/source/core/cell/crash_history.cpp
+++ b/source/core/cell/crash_history.cpp
@@ -11,9 +11,9 @@
 
 using common::milliseconds;
 
-// Of the runs on a crashed executor, those that had just started are the likely cause: of them, the
-// ones that started last, at most so long after each other. The others are then not suspected
-// before a second crash.
+// Of the runs on a crashed executor, those that had just started may be the cause: of them, the
+// ones that started last, at most so long after each other. The others are not suspected before a
+// second crash, or each executor that crashes by itself would hold up innocent tasks.
 constexpr milliseconds just_started{100};
 constexpr milliseconds started_together{5};
 // Longer than a caller sends a job again.
@@ -42,12 +42,12 @@
     }
 }
 
-// The greatest age at which a run is suspected of the crash.
+// The greatest age at which a run is suspected of the crash; negative if none is.
 milliseconds age_to_suspect(const executor_crash& it) {
     const auto youngest = std::min_element(
         it.runs.begin(), it.runs.end(), [](const auto& a, const auto& b) { return a.age < b.age; });
     return youngest == it.runs.end() || youngest->age > just_started
-               ? milliseconds::max()
+               ? milliseconds(-1)
                : youngest->age + started_together;
 }
 
--- a/source/core/cell/dispatcher_crashes.cpp
+++ b/source/core/cell/dispatcher_crashes.cpp
@@ -122,7 +122,7 @@
         const auto job = find(run.task.job);
         if (job == m_jobs.end()) {
             survivors.push_back(run); // told to stop
-        } else if (now >= until && m_executor_manager.is_confirmed(run, until)) {
+        } else if (now >= until && m_executor_manager.is_running(run)) {
             m_crashes.note_survived(run.task);
             survivors.push_back(run);
         }
--- a/source/core/cell/executor_crashes.cpp
+++ b/source/core/cell/executor_crashes.cpp
@@ -54,12 +54,12 @@
     m_listener->on_crash_refuted(it.info.id, it.start_time_ms);
 }
 
-bool executor_manager::is_confirmed(const work::run_key& run, common::time_point since) const {
+bool executor_manager::is_running(const work::run_key& run) const {
     return std::any_of(m_executors.begin(), m_executors.end(), [&](const auto& entry) {
         const auto& it = *entry.second;
         const auto found = it.runs.find(run);
         return found != it.runs.end() && found->second.state == run_state::running &&
-               !it.is_unresponsive() && it.reported_at && *it.reported_at >= since;
+               !it.is_unresponsive() && !it.connection_lost_at;
     });
 }
 
--- a/source/unit_tests/cell/deadly_tasks_test.cpp
+++ b/source/unit_tests/cell/deadly_tasks_test.cpp
@@ -84,6 +84,18 @@
     EXPECT_EQ(it.ends["deadly"].end, work::job_end::failed);
 }
 
+// Guards against a task that is not suspected since it crashes executors long after its start.
+TEST_P(deadly_tasks, fail_after_three_crashes_that_come_late) {
+    deadly_cell it(GetParam(), 12);
+    it.crash_delay = milliseconds(300);
+    it.submit(patient_job("deadly", 3, milliseconds(600)));
+    it.cell.run_for(milliseconds(20000));
+    EXPECT_TRUE(it.cell.violations.empty()) << it.cell.violations.front() << it.trace_text();
+    EXPECT_EQ(it.crashes(), 3) << it.trace_text();
+    ASSERT_TRUE(it.ends.contains("deadly")) << it.trace_text();
+    EXPECT_EQ(it.ends["deadly"].end, work::job_end::failed);
+}
+
 // Guards against innocent tasks that fail, or are lost again and again, as they ran beside a task
 // that crashes executors.
 TEST_P(deadly_tasks, cost_others_one_run_at_most) {
@@ -157,6 +169,32 @@
     EXPECT_TRUE(it.cell.at(0).jobs().crashes().is_empty()) << it.trace_text();
 }
 
+// Guards against tasks that wait longer than the lease of their lost runs. A run that its executor
+// has confirmed can't be on the process that comes after, whichever lease that one may grant.
+TEST_P(deadly_tasks, leave_others_waiting_no_longer_than_the_lease) {
+    deadly_cell it(GetParam(), 4);
+    constexpr milliseconds work{400};
+    it.submit(patient_job("innocent", 8, work)); // on all executors
+    it.cell.run_for(milliseconds(100));
+    it.cell.executor(0).crash(it.cell.now());
+    it.cell.run_for(limits().lease + milliseconds(100) + work);
+    ASSERT_TRUE(it.ends.contains("innocent")) << it.trace_text();
+    EXPECT_EQ(it.ends["innocent"].end, work::job_end::succeeded);
+}
+
+// Guards against an executor that leaves as planned and is taken for crashed.
+TEST_P(deadly_tasks, are_not_suspected_when_a_draining_executor_leaves) {
+    deadly_cell it(GetParam(), 4);
+    it.submit(patient_job("innocent", 8, milliseconds(400)));
+    it.cell.run_for(milliseconds(50));
+    auto list = it.cell.executor_infos();
+    list[0].is_draining = true;
+    it.cell.at(0).assign(list);
+    it.cell.executor(0).crash(it.cell.now());
+    it.cell.run_for(milliseconds(2000));
+    EXPECT_TRUE(it.cell.at(0).jobs().crashes().is_empty()) << it.trace_text();
+}
+
 INSTANTIATE_TEST_SUITE_P(seeds, deadly_tasks, testing::Range<std::uint64_t>(1, 6));
 
 } // namespace
--- a/source/unit_tests/cells/cells_fuzz_test.cpp
+++ b/source/unit_tests/cells/cells_fuzz_test.cpp
@@ -1,7 +1,8 @@
 // Stateful fuzzing of several cells: random sequences of jobs whose callers send them again by the
 // platform's rule, of faults of each direction between two entries and between entries and
-// executors, and of entries and executors that fail. Checks that no task ever has two runs at once,
-// in whichever cells, and that each caller is answered once the faults have ended.
+// executors, of entries and executors that fail, and of tasks that crash executors. Checks that no
+// task ever has two runs at once, in whichever cells, that none crashes executors without bound,
+// and that each caller is answered once the faults have ended.
 #include <gtest/gtest.h>
 
 #include <algorithm>
@@ -21,6 +22,8 @@
 constexpr int max_frozen_ms = 2000;
 constexpr int max_fault_ms = 3000;
 constexpr int max_timer_lateness_ms = 150;
+constexpr int max_time_to_crash_ms = 60;
+constexpr int max_down_ms = 3000;           // of an executor after a crash
 constexpr milliseconds answer_limit{10000}; // after the end of the faults
 constexpr int min_live_entries = 3;
 
@@ -37,9 +40,15 @@
         m_fleet.actual_run = [this](const work::job& job, const work::task_id& task) {
             const auto& step = job.steps.at(task.step);
             const auto work = step.estimate * (50 + pick(150)) / 100;
-            return cell::simulated_executor::simulated_task{step.task_resources, work,
-                                                            pick(100) == 0};
+            cell::simulated_executor::simulated_task it{step.task_resources, work, pick(100) == 0};
+            if (task.index == 0 && pick(100) < crash_percent(job)) {
+                it.crashes_after = milliseconds(pick(max_time_to_crash_ms));
+            }
+            return it;
         };
+        for (int i = 0; i < m_fleet.executors(); i++) {
+            m_fleet.executor(i).down_time = milliseconds(pick(2) * pick(max_down_ms));
+        }
     }
 
     void keep_trace() { m_fleet.is_tracing = true; }
@@ -66,6 +75,11 @@
 
 private:
     int pick(int n) { return static_cast<int>(m_random() % static_cast<std::uint64_t>(n)); }
+    // How often the job's first task crashes the executor that starts it.
+    static int crash_percent(const work::job& job) {
+        return job.id.ends_with("deadly") ? 100 : job.id.ends_with("unstable") ? 50 : 0;
+    }
+
     int pick_entry() { return pick(m_fleet.entries()); }
     int pick_executor() { return pick(m_fleet.executors()); }
 
@@ -287,7 +301,10 @@
         // Some jobs take longer than their callers wait before they send them again.
         const bool is_long = pick(2) == 0;
         const milliseconds estimate(is_long ? 1000 + pick(400) : 50 + pick(700));
-        auto job = cell::make_job("job-" + std::to_string(m_next++), 1 + pick(4), estimate);
+        const int kind = pick(40);
+        const std::string suffix = kind == 0 ? "-deadly" : kind == 1 ? "-unstable" : "";
+        auto job =
+            cell::make_job("job-" + std::to_string(m_next++) + suffix, 1 + pick(4), estimate);
         job.patience = milliseconds(1500 + pick(501));
         m_fleet.callers().submit(job);
     }
