--- a/source/stand_ins/users_platform/simulated_executor.h
+++ b/source/stand_ins/users_platform/simulated_executor.h
@@ -47,8 +47,8 @@
 
     // Ends the process, with all state lost; another one answers after `down_time`.
     void crash(common::time_point now);
-    // Whether no process answers.
-    bool is_down() const { return m_now < m_down_until; }
+    // Whether connections are refused: no process answers, or the network cuts it off so.
+    bool is_down() const { return m_now < m_down_until || is_cut_off; }
     // The tasks that crashed it, one for each crash by a task.
     const std::vector<work::task_id>& crashed_by() const { return m_crashed_by; }
     // What it offers from now on; runs that no longer fit go on.
@@ -62,6 +62,7 @@
     bool is_reachable = true;
     double slowdown = 1; // factor on the duration of runs that start
     bool is_stalled = false;
+    bool is_cut_off = false; // the network breaks its connections and refuses new ones
     common::milliseconds down_time{0};
     bool rejects_overload = true; // rejects starts that exceed its capacity
     // How far the occupied resources ever exceeded the capacity just after a start.
--- a/source/unit_tests/cell/deadly_tasks_test.cpp
+++ b/source/unit_tests/cell/deadly_tasks_test.cpp
@@ -2,6 +2,8 @@
 // one cell.
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 #include "unit_tests/cell/jobs.h"
 #include "unit_tests/cell/simulated_cell.h"
 
@@ -114,6 +116,24 @@
     }
 }
 
+// Guards against work that is started beside a suspect, and lost with it.
+TEST_P(deadly_tasks, run_alone_once_suspected) {
+    deadly_cell it(GetParam(), 4);
+    it.submit(patient_job("deadly", 1, milliseconds(100)));
+    for (int i = 0; i < 400 && it.crashes() < 2; i++) {
+        it.submit(patient_job("innocent-" + std::to_string(i), 1, milliseconds(8)));
+        it.cell.run_for(milliseconds(5));
+    }
+    it.cell.run_for(milliseconds(100));
+    ASSERT_EQ(it.crashes(), 2) << it.trace_text();
+    const auto last_crash =
+        std::find_if(it.cell.trace.rbegin(), it.cell.trace.rend(), [](const std::string& line) {
+            return line.find("executor_crashed") != std::string::npos;
+        });
+    ASSERT_NE(last_crash, it.cell.trace.rend());
+    EXPECT_NE(last_crash->find("1 runs: deadly"), std::string::npos) << *last_crash;
+}
+
 // Guards against a task that is blamed for crashes of executors by themselves.
 TEST_P(deadly_tasks, are_told_from_executors_that_crash_by_themselves) {
     deadly_cell it(GetParam(), 12);
@@ -182,6 +202,21 @@
     EXPECT_EQ(it.ends["innocent"].end, work::job_end::succeeded);
 }
 
+// Guards against a task that is blamed for a cut by a network that refuses connections, and against
+// another run of it while the first goes on behind the cut.
+TEST_P(deadly_tasks, are_cleared_when_the_executor_was_only_cut_off) {
+    deadly_cell it(GetParam(), 4);
+    it.submit(patient_job("innocent", 8, milliseconds(600)));
+    it.cell.run_for(milliseconds(50));
+    it.cell.executor(0).is_cut_off = true;
+    it.cell.run_for(milliseconds(300));
+    EXPECT_FALSE(it.cell.at(0).jobs().crashes().is_empty()) << it.trace_text();
+    it.cell.executor(0).is_cut_off = false;
+    it.cell.run_for(milliseconds(1000));
+    EXPECT_TRUE(it.cell.at(0).jobs().crashes().is_empty()) << it.trace_text();
+    EXPECT_TRUE(it.cell.violations.empty()) << it.cell.violations.front();
+}
+
 // Guards against an executor that leaves as planned and is taken for crashed.
 TEST_P(deadly_tasks, are_not_suspected_when_a_draining_executor_leaves) {
     deadly_cell it(GetParam(), 4);
--- a/source/unit_tests/cell/simulated_cell.cpp
+++ b/source/unit_tests/cell/simulated_cell.cpp
@@ -322,7 +322,8 @@
 void simulated_cell::holder::poll_report(const std::shared_ptr<report_call>& it) {
     constexpr milliseconds poll_interval{5};
     const auto report = m_cell.executor(it->executor).current_report();
-    if (report.start_time_ms != it->start_time_ms) { // its connection ended with the process
+    const bool is_cut_off = m_cell.executor(it->executor).is_cut_off;
+    if (is_cut_off || report.start_time_ms != it->start_time_ms) { // its connection has ended
         if (can_reach(it->executor)) {
             m_cell.after(one_way_delay, [this, it] {
                 receive_answer(it, work::order_status::connection_lost, {});
--- a/source/unit_tests/cells/deadly_resends_test.cpp
+++ b/source/unit_tests/cells/deadly_resends_test.cpp
@@ -2,6 +2,9 @@
 // dispatchers are killed and whose caller sends it again.
 #include <gtest/gtest.h>
 
+#include <map>
+#include <utility>
+
 #include "unit_tests/cell/jobs.h"
 #include "unit_tests/cells/simulated_fleet.h"
 
@@ -50,14 +53,17 @@
             std::chrono::duration_cast<milliseconds>(m_end - fleet.time().now()));
     }
 
-    void kill_dispatchers() {
-        for (int domain = 0; domain < fleet.domains(); domain++) {
-            const int slot = fleet.dispatcher_of(domain);
-            if (slot < 0 || !fleet.domains_running("deadly").contains(domain)) {
-                continue;
+    // Kills the dispatcher whose executor has crashed last.
+    void kill_dispatcher() {
+        for (int i = 0; i < fleet.executors(); i++) {
+            const auto crashes_there = fleet.executor(i).crashed_by().size();
+            const bool has_crashed =
+                crashes_there > std::exchange(m_crashes_seen[i], crashes_there);
+            const int slot = fleet.dispatcher_of(fleet.executor_domain(i));
+            if (has_crashed && slot >= 0) {
+                fleet.end_entry(slot, true);
+                fleet.time().after(restart_delay, [this, slot] { fleet.restart_entry(slot); });
             }
-            fleet.end_entry(slot, true);
-            fleet.time().after(restart_delay, [this, slot] { fleet.restart_entry(slot); });
         }
     }
 
@@ -72,6 +78,7 @@
     simulated_fleet fleet;
 
 private:
+    std::map<int, std::size_t> m_crashes_seen; // by executor
     const common::time_point m_end = fleet.time().now() + play_time;
 };
 
@@ -93,7 +100,7 @@
     it.submit();
     while (it.run_to_next_crash()) {
         it.fleet.run_for(milliseconds(300));
-        it.kill_dispatchers();
+        it.kill_dispatcher();
     }
     EXPECT_TRUE(it.fleet.violations.empty()) << it.fleet.violations.front() << it.trace_text();
     EXPECT_TRUE(it.fleet.callers().have_all_ended()) << it.trace_text();
