--- a/source/core/cell/interference.cpp
+++ b/source/core/cell/interference.cpp
@@ -437,8 +437,8 @@
     return static_cast<std::int64_t>(std::llround(sum / cost_step));
 }
 
-std::vector<interfering_pair> interference::to_share() const {
-    std::vector<interfering_pair> list;
+std::vector<fleet::interfering_pair> interference::to_share() const {
+    std::vector<fleet::interfering_pair> list;
     list.reserve(m_suspected.size());
     for (const auto& key : m_suspected) {
         const auto& it = *m_pairs.find(key);
@@ -451,7 +451,8 @@
     return list;
 }
 
-std::size_t interference::receive(const std::vector<interfering_pair>& pairs, time_point now) {
+std::size_t interference::receive(const std::vector<fleet::interfering_pair>& pairs,
+                                  time_point now) {
     std::size_t ignored = 0;
     for (std::size_t i = 0; i < pairs.size(); i++) {
         const auto& it = pairs[i];
--- a/source/core/cell/interference.h
+++ b/source/core/cell/interference.h
@@ -12,6 +12,7 @@
 #include "core/cell/duration_model.h"
 #include "core/cell/lru_map.h"
 #include "core/cell/run_neighbours.h"
+#include "core/fleet/shared_state.h"
 
 namespace savorytrail::cell {
 
@@ -24,16 +25,6 @@
     std::string to_string() const; // for logs; shortened
 };
 
-// Runs of `kind` take longer beside runs of `neighbour` on the same executor.
-struct interfering_pair {
-    kind_key kind = 0;
-    kind_key neighbour = 0;
-    double log_slowdown = 0;  // natural logarithm
-    std::uint32_t weight = 0; // number of runs with the neighbour that it is concluded from
-
-    bool operator==(const interfering_pair&) const = default;
-};
-
 // A pair has become suspected, or is no longer, with the evidence.
 struct pair_change {
     bool is_suspected = false;
@@ -83,9 +74,9 @@
                          const std::vector<kind_key>& planned = {}) const;
 
     // The strongest suspected pairs, by own observations only.
-    std::vector<interfering_pair> to_share() const;
+    std::vector<fleet::interfering_pair> to_share() const;
     // Takes pairs that another cell suspects as a prior. Returns how many values were ignored.
-    std::size_t receive(const std::vector<interfering_pair>& pairs, common::time_point now);
+    std::size_t receive(const std::vector<fleet::interfering_pair>& pairs, common::time_point now);
 
     std::size_t suspected() const { return m_suspected.size(); }
     std::size_t priors() const { return m_priors.size(); }
--- a/source/unit_tests/cell/interference_test.cpp
+++ b/source/unit_tests/cell/interference_test.cpp
@@ -409,7 +409,7 @@
 
 struct received_case {
     const char* name;
-    interfering_pair pair;
+    fleet::interfering_pair pair;
     std::size_t ignored;
 };
 
@@ -441,7 +441,7 @@
 
 TEST(interference, takes_no_more_pairs_from_a_message_than_peers_send) {
     interference learnt;
-    std::vector<interfering_pair> pairs(1000, {1, 2, 0.4, 50});
+    std::vector<fleet::interfering_pair> pairs(1000, {1, 2, 0.4, 50});
     for (std::size_t i = 0; i < pairs.size(); i++) {
         pairs[i].kind += i;
     }
