--- a/source/core/cell/crash_history.cpp
+++ b/source/core/cell/crash_history.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <chrono>
 
-#include "absl/strings/str_cat.h"
 #include "core/common/rendezvous.h"
 
 namespace savorytrail::cell {
@@ -25,15 +24,18 @@
 constexpr std::size_t crashes_to_suspect = 2;
 constexpr std::size_t crashes_to_prove = 3;
 
-std::uint64_t key_of(const work::task_id& it) {
-    return common::rendezvous_weight(it.job,
-                                     absl::StrCat(it.occurrence, ".", it.step, ".", it.index));
-}
-
 std::uint64_t process_key(const std::string& executor, std::int64_t start_time_ms) {
     return common::rendezvous_weight(executor, std::to_string(start_time_ms));
 }
 
+// Spreads small numbers over all bits (the finalizer of SplitMix64).
+std::uint64_t mixed(std::uint64_t seed, int value) {
+    auto it = seed + 0x9e3779b97f4a7c15U * (static_cast<std::uint64_t>(value) + 1);
+    it = (it ^ (it >> 30U)) * 0xbf58476d1ce4e5b9U;
+    it = (it ^ (it >> 27U)) * 0x94d049bb133111ebU;
+    return it ^ (it >> 31U);
+}
+
 void add_executor(std::vector<std::uint64_t>& executors, std::uint64_t key) {
     const auto at = std::lower_bound(executors.begin(), executors.end(), key);
     const bool is_known = at != executors.end() && *at == key;
@@ -53,15 +55,19 @@
 
 } // namespace
 
-const crash_history::suspicion* crash_history::find(const work::task_id& task) const {
-    return is_empty() ? nullptr : m_tasks.find(key_of(task));
+std::uint64_t crash_key_of_job(const std::string& job) {
+    return common::rendezvous_weight("crash", job);
+}
+
+std::uint64_t crash_key_of_task(std::uint64_t job_key, const work::task_id& task) {
+    return mixed(mixed(mixed(job_key, task.occurrence), task.step), task.index);
 }
 
 void crash_history::note_crash(const executor_crash& crash, common::time_point now) {
     const auto suspected_age = age_to_suspect(crash);
     const auto process = process_key(crash.executor, crash.start_time_ms);
     for (const auto& run : crash.runs) {
-        auto& it = m_tasks.touch(key_of(run.run.task));
+        auto& it = m_tasks.touch(crash_key_of(run.run.task));
         add_executor(it.executors, process);
         it.last_crash = now;
         it.longest_age = std::max(it.longest_age, run.age);
@@ -93,28 +99,28 @@
     if (is_empty()) {
         return;
     }
-    if (auto* it = m_tasks.find(key_of(task))) {
+    if (auto* it = m_tasks.find(crash_key_of(task))) {
         it->is_suspect = false;
     }
 }
 
-bool crash_history::is_suspect(const work::task_id& task) const {
-    const auto* it = find(task);
+bool crash_history::is_suspect(std::uint64_t task) const {
+    const auto* it = m_tasks.find(task);
     return it != nullptr && it->is_suspect;
 }
 
-bool crash_history::is_proven(const work::task_id& task) const {
-    const auto* it = find(task);
+bool crash_history::is_proven(std::uint64_t task) const {
+    const auto* it = m_tasks.find(task);
     return it != nullptr && it->is_proven;
 }
 
-int crash_history::crashes(const work::task_id& task) const {
-    const auto* it = find(task);
+int crash_history::crashes(std::uint64_t task) const {
+    const auto* it = m_tasks.find(task);
     return it == nullptr ? 0 : static_cast<int>(it->executors.size());
 }
 
-milliseconds crash_history::probation(const work::task_id& task) const {
-    const auto* it = find(task);
+milliseconds crash_history::probation(std::uint64_t task) const {
+    const auto* it = m_tasks.find(task);
     const auto age = it == nullptr ? milliseconds(0) : it->longest_age;
     return age * probation_factor + probation_margin;
 }
--- a/source/core/cell/crash_history.h
+++ b/source/core/cell/crash_history.h
@@ -16,6 +16,14 @@
 
 namespace savorytrail::cell {
 
+// Identifies a task in records of crashes, the same in every process. The first is derived from
+// the job's id once, the second from it for each task.
+std::uint64_t crash_key_of_job(const std::string& job);
+std::uint64_t crash_key_of_task(std::uint64_t job_key, const work::task_id& task);
+inline std::uint64_t crash_key_of(const work::task_id& task) {
+    return crash_key_of_task(crash_key_of_job(task.job), task);
+}
+
 class crash_history {
 public:
     static constexpr std::size_t max_tasks = 512;
@@ -29,13 +37,14 @@
     // itself. The crashes still count.
     void note_survived(const work::task_id& task);
 
+    // All by crash_key_of() a task.
     // Whether the task should run where a crash hurts nothing else.
-    bool is_suspect(const work::task_id& task) const;
+    bool is_suspect(std::uint64_t task) const;
     // Whether it must not be started any more.
-    bool is_proven(const work::task_id& task) const;
-    int crashes(const work::task_id& task) const;
+    bool is_proven(std::uint64_t task) const;
+    int crashes(std::uint64_t task) const;
     // How long a run of a suspect must go on to clear it.
-    common::milliseconds probation(const work::task_id& task) const;
+    common::milliseconds probation(std::uint64_t task) const;
     bool is_empty() const { return m_tasks.size() == 0; }
     std::size_t size() const { return m_tasks.size(); }
 
@@ -55,9 +64,7 @@
         bool is_proven = false;
     };
 
-    const suspicion* find(const work::task_id& task) const;
-
-    lru_map<std::uint64_t, suspicion> m_tasks{max_tasks}; // by task key
+    lru_map<std::uint64_t, suspicion> m_tasks{max_tasks}; // by crash_key_of() the task
 };
 
 } // namespace savorytrail::cell
--- a/source/core/cell/dispatcher_crashes.cpp
+++ b/source/core/cell/dispatcher_crashes.cpp
@@ -33,6 +33,9 @@
 }
 
 std::size_t dispatcher::learn_crashes(const std::vector<fleet::task_crashes>& records) {
+    if (records.empty()) {
+        return 0;
+    }
     const auto ignored = m_crashes.receive(records, m_clock.now());
     for (auto it = m_jobs.begin(); it != m_jobs.end();) {
         fail_if_proven(it++);
@@ -46,7 +49,7 @@
     }
     const auto it =
         std::find_if(job.tasks().begin(), job.tasks().end(), [&](const task_record& task) {
-            return task.state != task_state::done && m_crashes.is_proven(job.id_of(task));
+            return task.state != task_state::done && m_crashes.is_proven(task.crash_key);
         });
     return it == job.tasks().end() ? nullptr : &*it;
 }
@@ -63,7 +66,7 @@
 work::outcome dispatcher::crashed_outcome(const job_record& job, const task_record& task) const {
     m_observer.job_event(job.job().id, "job_failed",
                          absl::StrCat(crashes_executors, ": step ", task.step, ", task ",
-                                      task.index, ", ", m_crashes.crashes(job.id_of(task)),
+                                      task.index, ", ", m_crashes.crashes(task.crash_key),
                                       " crashes"));
     return {work::job_end::failed, crashes_executors, {}};
 }
@@ -71,7 +74,7 @@
 bool dispatcher::has_waiting_suspect(const job_record& job) const {
     return !m_crashes.is_empty() &&
            std::any_of(job.tasks().begin(), job.tasks().end(), [&](const task_record& task) {
-               return task.state == task_state::waiting && m_crashes.is_suspect(job.id_of(task));
+               return task.state == task_state::waiting && m_crashes.is_suspect(task.crash_key);
            });
 }
 
@@ -79,7 +82,7 @@
     const auto& executors = m_executor_manager.executors();
     return !m_crashes.is_empty() &&
            std::any_of(job.tasks().begin(), job.tasks().end(), [&](const task_record& task) {
-               if (task.state != task_state::active || !m_crashes.is_suspect(job.id_of(task))) {
+               if (task.state != task_state::active || !m_crashes.is_suspect(task.crash_key)) {
                    return false;
                }
                const auto at = executors.find(task.executor);
@@ -95,7 +98,7 @@
         if (const auto* task = m_starter.start_suspect(*job)) {
             note_starts(*job, {task});
             m_crash_risk.note_start({job->id_of(*task), task->last_run_number},
-                                    m_clock.now() + m_crashes.probation(job->id_of(*task)));
+                                    m_clock.now() + m_crashes.probation(task->crash_key));
         }
     }
 }
--- a/source/core/cell/job_record.cpp
+++ b/source/core/cell/job_record.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "core/cell/crash_history.h"
+
 namespace savorytrail::cell {
 namespace {
 
@@ -21,11 +23,13 @@
     for (const auto& it : submitted.steps) {
         m_caller_estimates.push_back(it.estimate);
     }
+    const auto crash_key = crash_key_of_job(m_job.id);
     for (int step = 0; step < static_cast<int>(m_job.steps.size()); step++) {
         for (int index = 0; index < m_job.steps[step].tasks; index++) {
             task_record task;
             task.step = step;
             task.index = index;
+            task.crash_key = crash_key_of_task(crash_key, id_of(task));
             m_tasks.push_back(std::move(task));
         }
     }
--- a/source/core/cell/job_record.h
+++ b/source/core/cell/job_record.h
@@ -24,6 +24,7 @@
     int failures = 0;
     int lost_runs = 0;                // each doubles the time limit of the next run, up to 16 times
     std::int64_t last_run_number = 0; // number of the latest run
+    std::uint64_t crash_key = 0;      // crash_key_of() it
     std::string executor;             // of the active run
     std::string avoid;                // executor of the last failed, lost or refused run
     // It waits though it could start: it would be late there, or executors have crashed under it.
--- a/source/core/cell/task_starter.cpp
+++ b/source/core/cell/task_starter.cpp
@@ -106,8 +106,8 @@
     return {chosen.executor == nullptr ? attempt::no_room : attempt::started, chosen.executor};
 }
 
-bool task_starter::is_suspect(const job_record& job, const task_record& task) const {
-    return !m_crashes.is_empty() && m_crashes.is_suspect(job.id_of(task));
+bool task_starter::is_suspect(const task_record& task) const {
+    return !m_crashes.is_empty() && m_crashes.is_suspect(task.crash_key);
 }
 
 task_starter::attempt task_starter::start(job_record& job, task_record& task,
@@ -196,7 +196,7 @@
 std::vector<const task_record*> task_starter::start_waiting_tasks(job_record& job) {
     std::vector<const task_record*> started;
     for_each_waiting(job, [&](task_record& task) {
-        if (is_suspect(job, task)) {
+        if (is_suspect(task)) {
             return attempt::held;
         }
         const auto result = start(job, task, milliseconds(0));
@@ -210,10 +210,10 @@
 
 const task_record* task_starter::start_suspect(job_record& job) {
     for (auto& task : job.tasks()) {
-        if (task.state != task_state::waiting || !is_suspect(job, task)) {
+        if (task.state != task_state::waiting || !is_suspect(task)) {
             continue;
         }
-        if (start(job, task, m_crashes.probation(job.id_of(task))) == attempt::started) {
+        if (start(job, task, m_crashes.probation(task.crash_key)) == attempt::started) {
             return &task;
         }
     }
@@ -229,7 +229,7 @@
         if (m_stopping_runs.contains(id)) {
             return attempt::no_room;
         }
-        if (is_suspect(job, task)) {
+        if (is_suspect(task)) {
             return attempt::held;
         }
         const auto request = request_for(job, task, &plan);
--- a/source/core/cell/task_starter.h
+++ b/source/core/cell/task_starter.h
@@ -70,7 +70,7 @@
     bool has_begun_in(const job_record& job, const std::string& domain) const;
     enum class attempt { started, no_room, held };
 
-    bool is_suspect(const job_record& job, const task_record& task) const;
+    bool is_suspect(const task_record& task) const;
     // `isolated_for`: see run_plan.
     attempt start(job_record& job, task_record& task, common::milliseconds isolated_for);
     // Calls start(task) for the job's waiting tasks while there is room.
--- a/source/unit_tests/cell/crash_history_test.cpp
+++ b/source/unit_tests/cell/crash_history_test.cpp
@@ -37,10 +37,10 @@
     for (const auto& it : GetParam().crashes) {
         history.note_crash(it, now);
     }
-    EXPECT_EQ(history.is_suspect(first), GetParam().is_first_suspect);
-    EXPECT_EQ(history.is_proven(first), GetParam().is_first_proven);
-    EXPECT_EQ(history.is_suspect(second), GetParam().is_second_suspect);
-    EXPECT_EQ(history.is_proven(second), GetParam().is_second_proven);
+    EXPECT_EQ(history.is_suspect(crash_key_of(first)), GetParam().is_first_suspect);
+    EXPECT_EQ(history.is_proven(crash_key_of(first)), GetParam().is_first_proven);
+    EXPECT_EQ(history.is_suspect(crash_key_of(second)), GetParam().is_second_suspect);
+    EXPECT_EQ(history.is_proven(crash_key_of(second)), GetParam().is_second_proven);
 }
 
 INSTANTIATE_TEST_SUITE_P(
@@ -94,10 +94,10 @@
     const common::time_point now;
     history.note_crash({"e1", 1, {run_of(first, 10)}}, now);
     history.note_refuted("e1", 2);
-    EXPECT_TRUE(history.is_suspect(first));
+    EXPECT_TRUE(history.is_suspect(crash_key_of(first)));
     history.note_refuted("e1", 1);
-    EXPECT_FALSE(history.is_suspect(first));
-    EXPECT_EQ(history.crashes(first), 0);
+    EXPECT_FALSE(history.is_suspect(crash_key_of(first)));
+    EXPECT_EQ(history.crashes(crash_key_of(first)), 0);
 }
 
 // Guards against an innocent task that is kept alone for good; its crashes still count.
@@ -106,10 +106,10 @@
     const common::time_point now;
     history.note_crash({"e1", 1, {run_of(first, 10)}}, now);
     history.note_survived(first);
-    EXPECT_FALSE(history.is_suspect(first));
-    EXPECT_EQ(history.crashes(first), 1);
+    EXPECT_FALSE(history.is_suspect(crash_key_of(first)));
+    EXPECT_EQ(history.crashes(crash_key_of(first)), 1);
     history.note_crash({"e2", 1, {run_of(first, 500), run_of(second, 20)}}, now);
-    EXPECT_TRUE(history.is_suspect(first));
+    EXPECT_TRUE(history.is_suspect(crash_key_of(first)));
 }
 
 // Guards against a count that depends on the order, the number or the way of messages.
@@ -122,11 +122,11 @@
     EXPECT_EQ(b.receive(a.to_share(now), now), 0U);
     EXPECT_EQ(b.receive(a.to_share(now), now), 0U);
     EXPECT_EQ(a.receive(b.to_share(now), now), 0U);
-    EXPECT_EQ(a.crashes(first), 2);
-    EXPECT_EQ(b.crashes(first), 2);
+    EXPECT_EQ(a.crashes(crash_key_of(first)), 2);
+    EXPECT_EQ(b.crashes(crash_key_of(first)), 2);
     b.note_crash({"e3", 1, {run_of(first, 10, true)}}, now);
     a.receive(b.to_share(now), now);
-    EXPECT_TRUE(a.is_proven(first));
+    EXPECT_TRUE(a.is_proven(crash_key_of(first)));
 }
 
 // Guards against memory that grows, and against messages of any size or age.
