--- a/source/core/cell/crash_history.h
+++ b/source/core/cell/crash_history.h
@@ -6,7 +6,6 @@
 #pragma once
 
 #include <cstdint>
-#include <optional>
 #include <string>
 #include <vector>
 
--- a/source/core/cell/crash_risk.h
+++ b/source/core/cell/crash_risk.h
@@ -3,6 +3,7 @@
 // capacity. A suspect counts until it is cleared, or until the executor that it crashed is back.
 #pragma once
 
+#include <algorithm>
 #include <map>
 #include <vector>
 
@@ -14,7 +15,8 @@
 public:
     // Whether one more suspect may start, in a cell of so many executors.
     bool may_start(std::size_t executors) const { return used() < limit(executors); }
-    // When a suspect may start at the latest, if all that are on probation crash their executors.
+    // When the next suspect may start, as far as is known: a probation may end at any time, and an
+    // executor that was crashed is back at a known one.
     common::time_point next_start(std::size_t executors, common::time_point now) const {
         if (may_start(executors)) {
             return now;
