The end of a suspect's isolation is known in one place

The time until which nothing starts beside a suspect was worked out twice, for its run and for the risk limit, and whether the run still goes on was sought on every executor. The executor manager now tells both, of the executor that the risk limit remembers. fail_if_proven() returned what nobody read. Behaviour is as before: cell_test's cases of crashes and cells_test pass.

--- a/source/core/cell/crash_risk.h
+++ b/source/core/cell/crash_risk.h
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <map>
+#include <string>
 #include <vector>
 
 #include "core/work/executor.h"
@@ -28,8 +29,8 @@
         return earliest;
     }
 
-    void note_start(const work::run_key& run, common::time_point until) {
-        m_on_probation[run] = until;
+    void note_start(const work::run_key& run, const std::string& executor) {
+        m_on_probation[run] = executor;
     }
     // The run has ended, or its probation has.
     void note_end(const work::run_key& run) { m_on_probation.erase(run); }
@@ -41,10 +42,8 @@
     void tick(common::time_point now) {
         std::erase_if(m_lost_until, [now](auto until) { return until <= now; });
     }
-    // Runs of suspects, each with the end of its probation.
-    const std::map<work::run_key, common::time_point>& on_probation() const {
-        return m_on_probation;
-    }
+    // Runs of suspects, each with its executor.
+    const std::map<work::run_key, std::string>& on_probation() const { return m_on_probation; }
 
 private:
     // An executor that has crashed is back after some seconds.
@@ -56,7 +55,7 @@
         return std::max<std::size_t>(executors / executors_per_suspect, 1);
     }
 
-    std::map<work::run_key, common::time_point> m_on_probation;
+    std::map<work::run_key, std::string> m_on_probation;
     std::vector<common::time_point> m_lost_until;
 };
 
--- a/source/core/cell/dispatcher.h
+++ b/source/core/cell/dispatcher.h
@@ -158,8 +158,8 @@
     void on_lost(job_record& job, task_record& task, loss_cause cause);
     // A task of the job that must not be started any more; nullptr if there is none.
     const task_record* find_proven_task(const job_record& job) const;
-    // Returns whether the job was closed, as one of its tasks crashes executors.
-    bool fail_if_proven(job_list::iterator job);
+    // Closes the job if one of its tasks is proven to crash executors.
+    void fail_if_proven(job_list::iterator job);
     work::outcome crashed_outcome(const job_record& job, const task_record& task) const;
     bool has_waiting_suspect(const job_record& job) const;
     // Whether the executor of a suspect's run has crashed, and the run has not ended for certain.
--- a/source/core/cell/dispatcher_crashes.cpp
+++ b/source/core/cell/dispatcher_crashes.cpp
@@ -54,13 +54,10 @@
     return it == job.tasks().end() ? nullptr : &*it;
 }
 
-bool dispatcher::fail_if_proven(job_list::iterator job) {
-    const auto* task = find_proven_task(*job);
-    if (task == nullptr) {
-        return false;
+void dispatcher::fail_if_proven(job_list::iterator job) {
+    if (const auto* task = find_proven_task(*job)) {
+        close(job, crashed_outcome(*job, *task));
     }
-    close(job, crashed_outcome(*job, *task));
-    return true;
 }
 
 work::outcome dispatcher::crashed_outcome(const job_record& job, const task_record& task) const {
@@ -97,8 +94,7 @@
         }
         if (const auto* task = m_starter.start_suspect(*job)) {
             note_starts(*job, {task});
-            m_crash_risk.note_start({job->id_of(*task), task->last_run_number},
-                                    m_clock.now() + m_crashes.probation(task->crash_key));
+            m_crash_risk.note_start({job->id_of(*task), task->last_run_number}, task->executor);
         }
     }
 }
@@ -121,11 +117,11 @@
     m_crash_risk.tick(now);
     m_crashes.forget_old(now);
     std::vector<work::run_key> survivors;
-    for (const auto& [run, until] : m_crash_risk.on_probation()) {
+    for (const auto& [run, executor] : m_crash_risk.on_probation()) {
         const auto job = find(run.task.job);
         if (job == m_jobs.end()) {
             survivors.push_back(run); // told to stop
-        } else if (now >= until && m_executor_manager.is_running(run)) {
+        } else if (m_executor_manager.has_outlasted_isolation(executor, run)) {
             m_crashes.note_survived(run.task);
             survivors.push_back(run);
         }
--- a/source/core/cell/executor_crashes.cpp
+++ b/source/core/cell/executor_crashes.cpp
@@ -54,13 +54,17 @@
     m_listener->on_crash_refuted(it.info.id, it.start_time_ms);
 }
 
-bool executor_manager::is_running(const work::run_key& run) const {
-    return std::any_of(m_executors.begin(), m_executors.end(), [&](const auto& entry) {
-        const auto& it = *entry.second;
-        const auto found = it.runs.find(run);
-        return found != it.runs.end() && found->second.state == run_state::running &&
-               !it.is_unresponsive() && !it.connection_lost_at;
-    });
+bool executor_manager::has_outlasted_isolation(const std::string& executor,
+                                               const work::run_key& run) const {
+    const auto at = m_executors.find(executor);
+    if (at == m_executors.end()) {
+        return false;
+    }
+    const auto& it = *at->second;
+    const auto found = it.runs.find(run);
+    return found != it.runs.end() && found->second.state == run_state::running &&
+           m_clock.now() >= found->second.isolated_until && !it.is_unresponsive() &&
+           !it.connection_lost_at;
 }
 
 void executor_manager::note_answer(executor_record& it) {
--- a/source/core/cell/executor_manager.h
+++ b/source/core/cell/executor_manager.h
@@ -113,8 +113,8 @@
 
     // Returns whether the start order was sent.
     bool start(const std::string& executor, const work::run_key& run, const run_plan& plan);
-    // Whether the run goes on at an executor that answers.
-    bool is_running(const work::run_key& run) const;
+    // Whether the run goes on at an executor that answers, and its isolation is over.
+    bool has_outlasted_isolation(const std::string& executor, const work::run_key& run) const;
     // Stops the run; whether or not the order is carried out, it ends by `ends_by`, or by the end
     // of the lease that it has.
     void stop(const std::string& executor, const work::run_key& run, common::time_point ends_by);
