Records of crashes: jobs are looked through on news only, and old records are erased in one pass

Each heartbeat with records looked for proven tasks in all open jobs, though nearly all repeat what is known. receive() now also tells whether there was news; the test checks it beside what it checked. note_refuted() and forget_old() each collected keys to erase them one by one: lru_map::erase_if().

--- a/source/core/cell/crash_history.cpp
+++ b/source/core/cell/crash_history.cpp
@@ -80,19 +80,12 @@
 
 void crash_history::note_refuted(const std::string& executor, std::int64_t start_time_ms) {
     const auto process = process_key(executor, start_time_ms);
-    std::vector<std::uint64_t> cleared;
-    for (auto& [task, it] : m_tasks.entries()) {
-        if (std::erase(it.executors, process) == 0) {
-            continue;
-        }
-        it.is_proven = false;
-        if (it.executors.empty()) {
-            cleared.push_back(task);
+    m_tasks.erase_if([process](std::uint64_t, suspicion& it) {
+        if (std::erase(it.executors, process) > 0) {
+            it.is_proven = false;
         }
-    }
-    for (const auto task : cleared) {
-        m_tasks.erase(task);
-    }
+        return it.executors.empty();
+    });
 }
 
 void crash_history::note_survived(const work::task_id& task) {
@@ -137,15 +130,15 @@
     return list;
 }
 
-std::size_t crash_history::receive(const std::vector<fleet::task_crashes>& records,
-                                   common::time_point now) {
-    std::size_t ignored = 0;
+crash_history::received crash_history::receive(const std::vector<fleet::task_crashes>& records,
+                                               common::time_point now) {
+    received result;
     for (const auto& record : records) {
         const bool is_sound = !record.executors.empty() &&
                               record.executors.size() <= max_executors &&
                               record.age >= milliseconds(0) && record.age < retention;
         if (!is_sound) {
-            ignored++;
+            result.ignored++;
             continue;
         }
         const auto* known = m_tasks.find(record.task);
@@ -155,6 +148,7 @@
         if (!is_news) {
             continue;
         }
+        result.has_news = true;
         auto& it = m_tasks.touch(record.task);
         for (const auto process : record.executors) {
             add_executor(it.executors, process);
@@ -163,19 +157,12 @@
         it.is_suspect = it.is_suspect || record.is_suspect;
         it.is_proven = it.is_proven || record.is_proven || it.executors.size() >= crashes_to_prove;
     }
-    return ignored;
+    return result;
 }
 
 void crash_history::forget_old(common::time_point now) {
-    std::vector<std::uint64_t> old;
-    for (const auto& [task, it] : m_tasks.entries()) {
-        if (now - it.last_crash > retention) {
-            old.push_back(task);
-        }
-    }
-    for (const auto task : old) {
-        m_tasks.erase(task);
-    }
+    m_tasks.erase_if(
+        [now](std::uint64_t, const suspicion& it) { return now - it.last_crash > retention; });
 }
 
 } // namespace savorytrail::cell
--- a/source/core/cell/crash_history.h
+++ b/source/core/cell/crash_history.h
@@ -49,8 +49,13 @@
 
     // The records that changed last.
     std::vector<fleet::task_crashes> to_share(common::time_point now) const;
-    // Returns how many records were ignored as malformed or too old.
-    std::size_t receive(const std::vector<fleet::task_crashes>& records, common::time_point now);
+    struct received {
+        std::size_t ignored = 0; // malformed or too old
+        bool has_news = false;   // something was not known yet
+
+        bool operator==(const received&) const = default;
+    };
+    received receive(const std::vector<fleet::task_crashes>& records, common::time_point now);
     // Forgets what is too old to matter; call at intervals of seconds or less.
     void forget_old(common::time_point now);
 
--- a/source/core/cell/dispatcher_crashes.cpp
+++ b/source/core/cell/dispatcher_crashes.cpp
@@ -33,14 +33,13 @@
 }
 
 std::size_t dispatcher::learn_crashes(const std::vector<fleet::task_crashes>& records) {
-    if (records.empty()) {
-        return 0;
-    }
-    const auto ignored = m_crashes.receive(records, m_clock.now());
-    for (auto it = m_jobs.begin(); it != m_jobs.end();) {
-        fail_if_proven(it++);
+    const auto received = m_crashes.receive(records, m_clock.now());
+    if (received.has_news) {
+        for (auto it = m_jobs.begin(); it != m_jobs.end();) {
+            fail_if_proven(it++);
+        }
     }
-    return ignored;
+    return received.ignored;
 }
 
 const task_record* dispatcher::find_proven_task(const job_record& job) const {
--- a/source/core/cell/lru_map.h
+++ b/source/core/cell/lru_map.h
@@ -47,6 +47,19 @@
         }
     }
 
+    // `predicate` is called with each key and entry.
+    template <typename Predicate>
+    void erase_if(Predicate predicate) {
+        for (auto it = m_entries.begin(); it != m_entries.end();) {
+            if (predicate(it->first, it->second)) {
+                m_index.erase(it->first);
+                it = m_entries.erase(it);
+            } else {
+                ++it;
+            }
+        }
+    }
+
     std::size_t size() const { return m_entries.size(); }
     // The entries, the most recently touched first.
     const std::list<std::pair<Key, Value>>& entries() const { return m_entries; }
--- a/source/unit_tests/cell/crash_history_test.cpp
+++ b/source/unit_tests/cell/crash_history_test.cpp
@@ -119,9 +119,9 @@
     crash_history b;
     a.note_crash({"e1", 1, {run_of(first, 10)}}, now);
     b.note_crash({"e2", 1, {run_of(first, 10)}}, now);
-    EXPECT_EQ(b.receive(a.to_share(now), now), 0U);
-    EXPECT_EQ(b.receive(a.to_share(now), now), 0U);
-    EXPECT_EQ(a.receive(b.to_share(now), now), 0U);
+    EXPECT_EQ(b.receive(a.to_share(now), now), (crash_history::received{0, true}));
+    EXPECT_EQ(b.receive(a.to_share(now), now), (crash_history::received{0, false}));
+    EXPECT_EQ(a.receive(b.to_share(now), now), (crash_history::received{0, true}));
     EXPECT_EQ(a.crashes(crash_key_of(first)), 2);
     EXPECT_EQ(b.crashes(crash_key_of(first)), 2);
     b.note_crash({"e3", 1, {run_of(first, 10, true)}}, now);
@@ -144,7 +144,7 @@
                                                      {2, too_many, milliseconds(0), true, true},
                                                      {3, {1}, std::chrono::hours(2), true, true},
                                                      {4, {1}, milliseconds(-1), true, true}};
-    EXPECT_EQ(history.receive(malformed, now), malformed.size());
+    EXPECT_EQ(history.receive(malformed, now), (crash_history::received{malformed.size(), false}));
     history.forget_old(now + std::chrono::hours(1));
     EXPECT_TRUE(history.is_empty());
 }
