--- a/source/core/cell/dispatcher.cpp
+++ b/source/core/cell/dispatcher.cpp
@@ -352,7 +352,7 @@
     const double capacity = effective_capacity();
     // Without executors, any work that was offered a moment ago would look like overload.
     const bool is_overloaded = capacity > 0 && m_admission.is_overloaded(capacity, now);
-    return_stranded_jobs(now);
+    return_stranded_jobs(capacity > 0, now);
     note_interference(m_interference.tick(now));
     end_probations(now);
     bool has_waiting_tasks = false;
@@ -411,9 +411,9 @@
     });
 }
 
-void dispatcher::return_stranded_jobs(time_point now) {
+void dispatcher::return_stranded_jobs(bool has_capacity, time_point now) {
     const auto& executors = m_executor_manager.executors();
-    if (effective_capacity() > 0) {
+    if (has_capacity) {
         m_had_capacity_at = now;
     }
     const bool is_outage = now - m_had_capacity_at > tolerated_outage;
--- a/source/core/cell/dispatcher.h
+++ b/source/core/cell/dispatcher.h
@@ -173,7 +173,7 @@
     // shows how far they can be used.
     bool is_waiting_for_cores(const job_record& job) const;
     // Returns jobs that have not run and that no executor here takes any more: another cell may.
-    void return_stranded_jobs(common::time_point now);
+    void return_stranded_jobs(bool has_capacity, common::time_point now);
     admission_view view_for(const job_record& candidate) const;
     job_room room_of(const job_record& job) const;
     common::milliseconds retry_after() const;
