--- a/source/unit_tests/cell/cell_fuzz_test.cpp
+++ b/source/unit_tests/cell/cell_fuzz_test.cpp
@@ -41,14 +41,7 @@
     }
 
     // The recorded events; empty unless keep_trace() was called.
-    std::string trace_text() const {
-        std::string text;
-        for (const auto& line : m_cell.trace) {
-            text += "\n" + line;
-        }
-        return text;
-    }
-
+    std::string trace_text() const { return m_cell.trace_text(); }
     void keep_trace() { m_cell.is_tracing = true; }
 
     std::vector<std::string> run(int commands) {
--- a/source/unit_tests/cell/deadly_tasks_test.cpp
+++ b/source/unit_tests/cell/deadly_tasks_test.cpp
@@ -50,14 +50,6 @@
         return sum;
     }
 
-    std::string trace_text() const {
-        std::string text;
-        for (const auto& line : cell.trace) {
-            text += "\n" + line;
-        }
-        return text;
-    }
-
     simulated_cell cell;
     milliseconds crash_delay = time_to_crash;
     std::map<std::string, work::outcome> ends;
@@ -80,9 +72,9 @@
     deadly_cell it(GetParam(), 12);
     it.submit(patient_job("deadly", 3, milliseconds(100)));
     it.cell.run_for(milliseconds(15000));
-    EXPECT_TRUE(it.cell.violations.empty()) << it.cell.violations.front() << it.trace_text();
-    EXPECT_EQ(it.crashes(), 2) << it.trace_text();
-    ASSERT_TRUE(it.ends.contains("deadly")) << it.trace_text();
+    EXPECT_TRUE(it.cell.violations.empty()) << it.cell.violations.front() << it.cell.trace_text();
+    EXPECT_EQ(it.crashes(), 2) << it.cell.trace_text();
+    ASSERT_TRUE(it.ends.contains("deadly")) << it.cell.trace_text();
     EXPECT_EQ(it.ends["deadly"].end, work::job_end::failed);
 }
 
@@ -92,9 +84,9 @@
     it.crash_delay = milliseconds(300);
     it.submit(patient_job("deadly", 3, milliseconds(600)));
     it.cell.run_for(milliseconds(20000));
-    EXPECT_TRUE(it.cell.violations.empty()) << it.cell.violations.front() << it.trace_text();
-    EXPECT_EQ(it.crashes(), 3) << it.trace_text();
-    ASSERT_TRUE(it.ends.contains("deadly")) << it.trace_text();
+    EXPECT_TRUE(it.cell.violations.empty()) << it.cell.violations.front() << it.cell.trace_text();
+    EXPECT_EQ(it.crashes(), 3) << it.cell.trace_text();
+    ASSERT_TRUE(it.ends.contains("deadly")) << it.cell.trace_text();
     EXPECT_EQ(it.ends["deadly"].end, work::job_end::failed);
 }
 
@@ -108,11 +100,11 @@
     it.cell.run_for(milliseconds(20));
     it.submit(patient_job("deadly", 3, milliseconds(100)));
     it.cell.run_for(milliseconds(15000));
-    EXPECT_EQ(it.crashes(), 2) << it.trace_text();
+    EXPECT_EQ(it.crashes(), 2) << it.cell.trace_text();
     EXPECT_EQ(it.ends["deadly"].end, work::job_end::failed);
     for (int i = 0; i < 4; i++) {
         EXPECT_EQ(it.ends["innocent-" + std::to_string(i)].end, work::job_end::succeeded)
-            << it.trace_text();
+            << it.cell.trace_text();
     }
 }
 
@@ -125,7 +117,7 @@
         it.cell.run_for(milliseconds(5));
     }
     it.cell.run_for(milliseconds(100));
-    ASSERT_EQ(it.crashes(), 2) << it.trace_text();
+    ASSERT_EQ(it.crashes(), 2) << it.cell.trace_text();
     const auto last_crash =
         std::find_if(it.cell.trace.rbegin(), it.cell.trace.rend(), [](const std::string& line) {
             return line.find("executor_crashed") != std::string::npos;
@@ -143,7 +135,7 @@
         it.cell.executor(i).crash(it.cell.now());
     }
     it.cell.run_for(milliseconds(15000));
-    ASSERT_TRUE(it.ends.contains("innocent")) << it.trace_text();
+    ASSERT_TRUE(it.ends.contains("innocent")) << it.cell.trace_text();
     EXPECT_EQ(it.ends["innocent"].end, work::job_end::succeeded);
 }
 
@@ -156,9 +148,9 @@
         it.cell.run_for(milliseconds(30));
     }
     it.cell.run_for(milliseconds(2500));
-    EXPECT_LE(it.crashes(), jobs + 1) << it.trace_text(); // each once, and one as a suspect
+    EXPECT_LE(it.crashes(), jobs + 1) << it.cell.trace_text(); // each once, and one as a suspect
     it.cell.run_for(milliseconds(25000));
-    EXPECT_EQ(it.crashes(), 2 * jobs) << it.trace_text();
+    EXPECT_EQ(it.crashes(), 2 * jobs) << it.cell.trace_text();
     for (int i = 0; i < jobs; i++) {
         EXPECT_EQ(it.ends["deadly-" + std::to_string(i)].end, work::job_end::failed);
     }
@@ -173,8 +165,8 @@
     it.cell.run_for(milliseconds(1300));
     it.submit(impatient);
     it.cell.run_for(milliseconds(200));
-    ASSERT_EQ(it.crashes(), 3) << it.trace_text();
-    ASSERT_TRUE(it.ends.contains("deadly-1")) << it.trace_text();
+    ASSERT_EQ(it.crashes(), 3) << it.cell.trace_text();
+    ASSERT_TRUE(it.ends.contains("deadly-1")) << it.cell.trace_text();
     EXPECT_EQ(it.ends["deadly-1"].end, work::job_end::given_up);
 }
 
@@ -186,7 +178,7 @@
     it.cell.executor(0).is_reachable = false;
     it.cell.executor(1).is_reachable = false;
     it.cell.run_for(milliseconds(3000));
-    EXPECT_TRUE(it.cell.at(0).jobs().crashes().is_empty()) << it.trace_text();
+    EXPECT_TRUE(it.cell.at(0).jobs().crashes().is_empty()) << it.cell.trace_text();
 }
 
 // Guards against tasks that wait longer than the lease of their lost runs. A run that its executor
@@ -198,7 +190,7 @@
     it.cell.run_for(milliseconds(100));
     it.cell.executor(0).crash(it.cell.now());
     it.cell.run_for(limits().lease + milliseconds(100) + work);
-    ASSERT_TRUE(it.ends.contains("innocent")) << it.trace_text();
+    ASSERT_TRUE(it.ends.contains("innocent")) << it.cell.trace_text();
     EXPECT_EQ(it.ends["innocent"].end, work::job_end::succeeded);
 }
 
@@ -210,10 +202,10 @@
     it.cell.run_for(milliseconds(50));
     it.cell.executor(0).is_cut_off = true;
     it.cell.run_for(milliseconds(300));
-    EXPECT_FALSE(it.cell.at(0).jobs().crashes().is_empty()) << it.trace_text();
+    EXPECT_FALSE(it.cell.at(0).jobs().crashes().is_empty()) << it.cell.trace_text();
     it.cell.executor(0).is_cut_off = false;
     it.cell.run_for(milliseconds(1000));
-    EXPECT_TRUE(it.cell.at(0).jobs().crashes().is_empty()) << it.trace_text();
+    EXPECT_TRUE(it.cell.at(0).jobs().crashes().is_empty()) << it.cell.trace_text();
     EXPECT_TRUE(it.cell.violations.empty()) << it.cell.violations.front();
 }
 
@@ -227,7 +219,7 @@
     it.cell.at(0).assign(list);
     it.cell.executor(0).crash(it.cell.now());
     it.cell.run_for(milliseconds(2000));
-    EXPECT_TRUE(it.cell.at(0).jobs().crashes().is_empty()) << it.trace_text();
+    EXPECT_TRUE(it.cell.at(0).jobs().crashes().is_empty()) << it.cell.trace_text();
 }
 
 INSTANTIATE_TEST_SUITE_P(seeds, deadly_tasks, testing::Range<std::uint64_t>(1, 6));
--- a/source/unit_tests/cell/drained_cell_test.cpp
+++ b/source/unit_tests/cell/drained_cell_test.cpp
@@ -32,6 +32,17 @@
         m_cell.run_for(milliseconds(100));
     }
 
+    // The first two executors, in domain "d", are large, the others, in domain "other", small.
+    void label_by_domain() {
+        auto list = m_cell.executor_infos();
+        for (int i = 0; i < executors; i++) {
+            list[i].failure_domain = i < 2 ? "d" : "other";
+            list[i].labels = {i < 2 ? "large" : "small"};
+        }
+        m_cell.at(0).assign(list);
+        m_cell.run_for(milliseconds(100));
+    }
+
     void drain(milliseconds known_for = milliseconds(0), const std::string& domain = "d") {
         fleet::drain_state it{++m_version, {{domain, known_for}}};
         m_drains.merge(it, m_cell.at(0).now());
@@ -137,13 +148,7 @@
 // A job that only executors of the drained domain could run waited until it was late, as the other
 // executors kept the cell in service.
 TEST_F(draining_cell, refuses_at_once_what_only_drained_executors_could_run) {
-    auto list = m_cell.executor_infos();
-    for (int i = 0; i < executors; i++) {
-        list[i].failure_domain = i < 2 ? "d" : "other";
-        list[i].labels = {i < 2 ? "large" : "small"};
-    }
-    m_cell.at(0).assign(list);
-    m_cell.run_for(milliseconds(100));
+    label_by_domain();
     auto job = make_job("a", 4, milliseconds(800));
     job.steps[0].required_label = "large";
     submit(job);
@@ -164,13 +169,7 @@
 // A begun job whose remaining tasks fit only drained executors waited for its caller's patience,
 // and its wait passed for a lack of free capacity.
 TEST_F(draining_cell, gives_up_at_once_what_only_drained_executors_could_end) {
-    auto list = m_cell.executor_infos();
-    for (int i = 0; i < executors; i++) {
-        list[i].failure_domain = i < 2 ? "d" : "other";
-        list[i].labels = {i < 2 ? "large" : "small"};
-    }
-    m_cell.at(0).assign(list);
-    m_cell.run_for(milliseconds(100));
+    label_by_domain();
     auto job = make_job("a", 2, milliseconds(400));
     job.steps[0].required_label = "large";
     job.steps.push_back(job.steps[0]);
--- a/source/unit_tests/cell/simulated_cell.cpp
+++ b/source/unit_tests/cell/simulated_cell.cpp
@@ -77,6 +77,14 @@
     }
 }
 
+std::string simulated_cell::trace_text() const {
+    std::string text;
+    for (const auto& line : trace) {
+        text += "\n" + line;
+    }
+    return text;
+}
+
 void simulated_cell::note(const std::string& line) {
     if (is_tracing) {
         const auto ms = std::chrono::duration_cast<milliseconds>(m_now.time_since_epoch()).count();
--- a/source/unit_tests/cells/cells_fuzz_test.cpp
+++ b/source/unit_tests/cells/cells_fuzz_test.cpp
@@ -52,14 +52,7 @@
     }
 
     void keep_trace() { m_fleet.is_tracing = true; }
-
-    std::string trace_text() const {
-        std::string text;
-        for (const auto& line : m_fleet.trace) {
-            text += "\n" + line;
-        }
-        return text;
-    }
+    std::string trace_text() const { return m_fleet.trace_text(); }
 
     void run() {
         m_fleet.run_for(settle_time);
--- a/source/unit_tests/cells/deadly_resends_test.cpp
+++ b/source/unit_tests/cells/deadly_resends_test.cpp
@@ -67,14 +67,6 @@
         }
     }
 
-    std::string trace_text() const {
-        std::string text;
-        for (const auto& line : fleet.trace) {
-            text += "\n" + line;
-        }
-        return text;
-    }
-
     simulated_fleet fleet;
 
 private:
@@ -89,8 +81,9 @@
     deadly_fleet it(GetParam());
     it.submit();
     it.fleet.run_for(play_time);
-    EXPECT_TRUE(it.fleet.violations.empty()) << it.fleet.violations.front() << it.trace_text();
-    EXPECT_TRUE(it.fleet.callers().have_all_ended()) << it.trace_text();
+    EXPECT_TRUE(it.fleet.violations.empty())
+        << it.fleet.violations.front() << it.fleet.trace_text();
+    EXPECT_TRUE(it.fleet.callers().have_all_ended()) << it.fleet.trace_text();
 }
 
 // Guards against a count of crashes that dies with the dispatcher: each that runs the job is killed
@@ -102,8 +95,9 @@
         it.fleet.run_for(milliseconds(300));
         it.kill_dispatcher();
     }
-    EXPECT_TRUE(it.fleet.violations.empty()) << it.fleet.violations.front() << it.trace_text();
-    EXPECT_TRUE(it.fleet.callers().have_all_ended()) << it.trace_text();
+    EXPECT_TRUE(it.fleet.violations.empty())
+        << it.fleet.violations.front() << it.fleet.trace_text();
+    EXPECT_TRUE(it.fleet.callers().have_all_ended()) << it.fleet.trace_text();
 }
 
 INSTANTIATE_TEST_SUITE_P(seeds, deadly_resends, testing::Range<std::uint64_t>(1, 6));
--- a/source/unit_tests/cells/simulated_fleet.cpp
+++ b/source/unit_tests/cells/simulated_fleet.cpp
@@ -216,6 +216,14 @@
     });
 }
 
+std::string simulated_fleet::trace_text() const {
+    std::string text;
+    for (const auto& line : trace) {
+        text += "\n" + line;
+    }
+    return text;
+}
+
 void simulated_fleet::note(const std::string& line) {
     if (is_tracing) {
         const auto ms =
--- a/source/unit_tests/cells/simulated_fleet.h
+++ b/source/unit_tests/cells/simulated_fleet.h
@@ -71,6 +71,7 @@
     // Log of events for the analysis of a failure; recorded only if `is_tracing` is set.
     bool is_tracing = false;
     std::vector<std::string> trace;
+    std::string trace_text() const; // a line each
     void note(const std::string& line);
 
     // Called by simulated_orders.
