Fences follow the wall clock, and a rejected claim is repeated at once

Cause: each claim but an entry's first raised the fence by 2 s, so the fences of 16 claims ran 30 s ahead of the clock. The successors' claims were rejected by executors that had been claimed later in a series, and were repeated only 400 ms after. Change: only a repeated claim is raised (cell/fence_sequence, now also what the simulated fleet uses), and the first repetition goes out at once.

--- a/source/core/cell/executor_manager.cpp
+++ b/source/core/cell/executor_manager.cpp
@@ -40,7 +40,8 @@
         assigned.insert(info.id);
         auto& slot = m_executors[info.id];
         if (!slot) {
-            slot = std::make_unique<executor_record>(info, m_limits, m_fences());
+            slot = std::make_unique<executor_record>(info, m_limits,
+                                                     m_fences(claim_attempt::first));
             slot->is_adopted = adopted.contains(info.id);
             slot->cold_until = m_clock.now() + info.cold_left;
             apply_drains(*slot);
@@ -135,11 +136,21 @@
     }
     const auto delay = m_limits.initial_reclaim_delay * (1 << std::min(it.times_lost - 1, 8));
     if (m_clock.now() - it.lost_at > std::min(delay, m_limits.max_reclaim_delay)) {
-        it.fence = m_fences();
+        it.fence = m_fences(claim_attempt::repeated);
         claim(it);
     }
 }
 
+void executor_manager::on_claim_rejected(executor_record& it) {
+    it.fence = m_fences(claim_attempt::repeated);
+    if (it.rejected_claims++ == 0) {
+        // The holder before may have ended; one that lives takes it back, and then claims alternate.
+        claim(it);
+        return;
+    }
+    it.next_report_request = m_clock.now() + m_limits.unresponsive_retry;
+}
+
 common::time_point executor_manager::all_may_run_until(const executor_record& it) const {
     auto earliest = common::time_point::max();
     for (const auto& [key, run] : it.runs) {
--- a/source/core/cell/executor_manager.h
+++ b/source/core/cell/executor_manager.h
@@ -19,6 +19,7 @@
 #include "absl/container/flat_hash_map.h"
 #include "core/cell/executor_record.h"
 #include "core/cell/executor_speed.h"
+#include "core/cell/fence_sequence.h"
 #include "core/cell/orders.h"
 #include "core/cell/run_outcome.h"
 #include "core/common/error.h"
@@ -79,7 +80,7 @@
 };
 
 // Returns a fence higher than all that this entry has used, and likely higher than other holders'.
-using fence_source = std::function<std::int64_t()>;
+using fence_source = std::function<std::int64_t(claim_attempt)>;
 
 class executor_manager {
 public:
@@ -145,6 +146,7 @@
     void claim(executor_record& it);
     void lose_claim(executor_record& it, std::string_view reason);
     void reclaim_if_due(executor_record& it);
+    void on_claim_rejected(executor_record& it);
     void request_report(executor_record& it, common::milliseconds wait);
     void request_next_report(executor_record& it);
     void renew_if_due(executor_record& it);
--- a/source/core/cell/executor_record.h
+++ b/source/core/cell/executor_record.h
@@ -87,6 +87,7 @@
     common::time_point cold_until;        // until when it is slow after a start
     bool is_adopted = false; // claimed on the assumption that its holder has abandoned it
     int times_lost = 0;      // claims lost in a row, each soon after the last
+    int rejected_claims = 0; // in a row, since it was held
     executor_clock clock;
     std::int64_t start_time_ms = 0; // of the executor process that sent the latest report
     std::int64_t acknowledged = 0;  // sequence number of the latest ended run that was processed
--- a/source/core/cell/executor_reports.cpp
+++ b/source/core/cell/executor_reports.cpp
@@ -45,8 +45,7 @@
     switch (status) {
     case work::order_status::fenced:
         if (it.state == claim_state::claiming) {
-            it.fence = m_fences();
-            it.next_report_request = now + m_limits.unresponsive_retry;
+            on_claim_rejected(it);
         } else {
             lose_claim(it, higher_fence);
         }
@@ -101,6 +100,7 @@
     apply_running_runs(it, request, report);
     if (it.state == claim_state::claiming && it.foreign_runs.empty()) {
         set_state(it, claim_state::held);
+        it.rejected_claims = 0;
         m_observer.executor_changed(it.info.id, "executor_held",
                                     "no runs of other holders are left there");
     }
--- a/source/unit_tests/cell/simulated_cell.cpp
+++ b/source/unit_tests/cell/simulated_cell.cpp
@@ -108,7 +108,7 @@
     : m_cell(cell), m_number(number),
       m_executor_manager(
           by, *this, *this,
-          [this] {
+          [this](claim_attempt) {
               return m_fence = std::max<std::int64_t>(
                          m_fence + 1000,
                          m_cell.m_now.time_since_epoch().count() / 1000000 * 8 + m_number);
--- a/source/unit_tests/cell/timing_test.cpp
+++ b/source/unit_tests/cell/timing_test.cpp
@@ -40,7 +40,7 @@
     silent_observer observer;
     std::int64_t fence = 0;
     executor_manager manager(
-        {}, clock, orders, [&] { return ++fence; }, observer);
+        {}, clock, orders, [&](claim_attempt) { return ++fence; }, observer);
     dispatcher jobs({}, clock, manager, observer);
     work::executor_info info;
     info.id = "e0";
--- a/source/unit_tests/cells/simulated_entry.cpp
+++ b/source/unit_tests/cells/simulated_entry.cpp
@@ -32,6 +32,10 @@
     return cell::limits_for(longest_lease, simulated_callers::resend_delay);
 }
 
+std::int64_t wall_ms(simulated_fleet& fleet) {
+    return std::chrono::duration_cast<milliseconds>(fleet.time().now().time_since_epoch()).count();
+}
+
 fleet::entry_identity own_identity(const simulated_fleet& fleet, int slot,
                                    std::uint64_t incarnation) {
     return {simulated_entry::name_of(slot), simulated_fleet::domain_name(fleet.domain_of(slot)),
@@ -41,10 +45,11 @@
 } // namespace
 
 simulated_entry::simulated_entry(simulated_fleet& fleet, int slot, std::uint64_t incarnation)
-    : m_fleet(fleet), m_slot(slot), m_stalls(*this, own_limits().catch_up_after),
+    : m_fleet(fleet), m_slot(slot), m_fences(static_cast<std::uint8_t>(slot)), m_stalls(*this, own_limits().catch_up_after),
       m_random(fleet.random()()), m_orders(fleet, *this),
       m_manager(
-          own_limits(), *this, m_orders, [this] { return next_fence(); }, *this),
+          own_limits(), *this, m_orders,
+          [this](cell::claim_attempt it) { return m_fences.next(it, wall_ms(m_fleet)); }, *this),
       m_dispatcher(own_limits(), *this, m_manager, *this),
       m_view(own_identity(fleet, slot, incarnation), simulated_network::address_of(slot).port, {},
              now()),
@@ -288,14 +293,4 @@
     }
 }
 
-std::int64_t simulated_entry::next_fence() {
-    constexpr std::int64_t slot_bits = 8;
-    constexpr std::int64_t raise_ms = 2000;
-    const auto wall_ms =
-        std::chrono::duration_cast<milliseconds>(m_fleet.time().now().time_since_epoch()).count();
-    const auto at = std::max(wall_ms, (m_last_fence >> slot_bits) + 1);
-    m_last_fence = (std::max(at, m_last_fence == 0 ? at : at + raise_ms) << slot_bits) | m_slot;
-    return m_last_fence;
-}
-
 } // namespace savorytrail::cells
--- a/source/unit_tests/cells/simulated_entry.h
+++ b/source/unit_tests/cells/simulated_entry.h
@@ -71,7 +71,6 @@
     void send_to(const std::string& entry, const std::string& bytes);
     fleet::entry_status own_status() const;
     std::vector<std::uint64_t> held_keys() const;
-    std::int64_t next_fence();
 
     simulated_fleet& m_fleet;
     const int m_slot;
@@ -80,7 +79,7 @@
     bool m_is_paused = false; // the latest interruption was pause(), not suspend()
     common::time_point m_frozen_until;
     common::milliseconds m_total_suspended{0};
-    std::int64_t m_last_fence = 0;
+    cell::fence_sequence m_fences;
     common::stall_detector m_stalls;
     common::seeded_random m_random;
     simulated_orders m_orders;
--- a/source/unit_tests/gateway/gateway_test.cpp
+++ b/source/unit_tests/gateway/gateway_test.cpp
@@ -103,7 +103,7 @@
     fake_order_sink m_orders;
     fake_forwarding_client m_client;
     cell::executor_manager m_executor_manager{
-        {}, m_clock, m_orders, [] { return std::int64_t{1}; }, m_observer};
+        {}, m_clock, m_orders, [](cell::claim_attempt) { return std::int64_t{1}; }, m_observer};
     cell::dispatcher m_dispatcher{{}, m_clock, m_executor_manager, m_observer};
     fleet::view m_view{{"self", "d", "10.0.0.1", 1, 250}, 7000, {}, m_clock.now()};
     common::seeded_random m_random{1};
--- a/source/unit_tests/platform_adapter/executor_assigner_test.cpp
+++ b/source/unit_tests/platform_adapter/executor_assigner_test.cpp
@@ -27,7 +27,7 @@
     adopting_entry()
         : m_client(m_loop), m_orders(m_client, {}),
           m_manager(
-              {}, m_clock, m_orders, [this] { return ++m_fence; }, m_observer),
+              {}, m_clock, m_orders, [this](cell::claim_attempt) { return ++m_fence; }, m_observer),
           m_dispatcher({}, m_clock, m_manager, m_observer),
           m_view({"entry", "a", "127.0.0.1", 1, 250}, 7000, {}, m_clock.now()),
           m_assigner(m_clock, m_view, m_manager, m_orders),
