A new entry is answered at once, and claims executors 100 ms after it knows the others

An entry listened for 250 ms after the platform had listed the entries, as heartbeats passed only each 50 ms and a lost one was repeated after 150 ms. Now it sends when the list arrives and each 50 ms until it has heard the entries of its domain, and those that live answer at once; so 100 ms hold two further tries.

--- a/source/core/fleet/heartbeat_sender.h
+++ b/source/core/fleet/heartbeat_sender.h
@@ -33,6 +33,8 @@
     // The heartbeats to send now; to be called about every 50 ms. `held`: keys of the executors of
     // its own domain that this entry holds.
     std::vector<outgoing> due(const std::vector<std::uint64_t>& held, common::time_point now);
+    // Entries were added that may need links.
+    void on_entries_listed() { m_links_chosen.reset(); }
 
 private:
     void choose_links_if_due(bool holds_executors, common::time_point now);
--- a/source/core/fleet/view.h
+++ b/source/core/fleet/view.h
@@ -37,7 +37,7 @@
     // An entry listens for this long before it claims executors: from its start, or, if that ends
     // sooner, from when the platform has listed the entries.
     common::milliseconds settle_time{700};
-    common::milliseconds settle_time_after_listing{250};
+    common::milliseconds settle_time_after_listing{100};
     std::size_t executors_per_cell = 24;
 
     bool operator==(const view_limits&) const = default;
--- a/source/unit_tests/cells/simulated_entry.cpp
+++ b/source/unit_tests/cells/simulated_entry.cpp
@@ -71,6 +71,7 @@
         m_view.add_entry({name_of(other), domain, simulated_network::address_of(other).host});
     }
     m_view.note_entries_listed(now());
+    after(milliseconds(0), [this] { send_heartbeats(); });
     after(milliseconds(m_fleet.pick(static_cast<int>(heartbeat_check_period.count()))),
           [this] { every(heartbeat_check_period, [this] { send_heartbeats(); }); });
     after(milliseconds(m_fleet.pick(static_cast<int>(tick_period.count()))),
@@ -242,6 +243,9 @@
     for (const auto& updated : learnt.updated) {
         m_gateway.on_load_learnt(updated);
     }
+    if (!learnt.seen.empty()) {
+        send_heartbeats();
+    }
 }
 
 void simulated_entry::on_request(const reactor::http_request& request,
--- a/source/unit_tests/fleet_view/view_test.cpp
+++ b/source/unit_tests/fleet_view/view_test.cpp
@@ -281,7 +281,8 @@
     EXPECT_FALSE(m_view.has_settled(m_now));
     EXPECT_TRUE(m_view.has_settled(m_now + milliseconds(700)));
     m_view.note_entries_listed(m_now);
-    EXPECT_TRUE(m_view.has_settled(m_now + milliseconds(250)));
+    EXPECT_FALSE(m_view.has_settled(m_now + milliseconds(99)));
+    EXPECT_TRUE(m_view.has_settled(m_now + milliseconds(100)));
 }
 
 TEST(heartbeats, keep_all_fields_when_encoded) {
