A job that would be late in a full cell is offered to others first

Cause: admission asked only whether the answer could still be of use, by the amount of waiting work, and a job that waited was returned only when it was useless. Change: the gateway asks two cells for an answer on time before one may be late; a cell forecasts when the job's first tasks can start by the expected ends of its runs, and returns the job otherwise.

--- a/source/core/cell/admission.cpp
+++ b/source/core/cell/admission.cpp
@@ -25,6 +25,8 @@
         return "none_fits";
     case refusal_cause::too_late:
         return "too_late";
+    case refusal_cause::late_here:
+        return "late_here";
     case refusal_cause::share:
         return "share";
     case refusal_cause::late_overload:
--- a/source/core/cell/admission.h
+++ b/source/core/cell/admission.h
@@ -32,6 +32,7 @@
     no_executors,  // no executor takes work
     none_fits,     // no executor is large enough or has the label
     too_late,      // it could not end in time behind the jobs that go first
+    late_here,     // it would be late, and other cells may take it
     share,         // overload, and its queue had its share
     late_overload, // it waited until it was late, and there was overload
     not_started,   // no executor became free in time
--- a/source/core/cell/dispatcher.cpp
+++ b/source/core/cell/dispatcher.cpp
@@ -16,10 +16,6 @@
 constexpr double task_size_weight = 0.05;
 // Time for the final answer to reach the caller before its patience ends.
 constexpr milliseconds answer_margin{80};
-// Executors that miss one report or are claimed anew are back sooner than another cell could start
-// the jobs that wait for them.
-constexpr milliseconds tolerated_outage{150};
-constexpr const char* no_executor_left = "no executor takes work any more";
 constexpr const char* unrenewed = "its entry does not confirm that the caller still waits";
 
 // For those who sent a job earlier.
@@ -102,6 +98,10 @@
         return ticket;
     }
     const auto view = view_for(record);
+    if (const auto it = return_if_late_here(record, view)) {
+        first.done(*it);
+        return ticket;
+    }
     const auto count_room = [&] { return room_of(record); };
     if (const auto refusal = m_admission.check(record, view, count_room, m_clock.now())) {
         m_observer.job_event(job.id, "job_refused",
@@ -285,21 +285,6 @@
     close(job, given_up_outcome(*job, cause, reason));
 }
 
-bool dispatcher::leave_drained(job_list::iterator job) {
-    const bool is_running =
-        std::any_of(job->tasks().begin(), job->tasks().end(),
-                    [](const task_record& it) { return it.state == task_state::active; });
-    // A run may be the last that its job needs, or end within the grace.
-    if (is_running || !job->has_waiting() || m_starter.may_start_later(*job)) {
-        return false;
-    }
-    auto outcome =
-        given_up_outcome(*job, refusal_cause::no_executors, "its failure domain is drained");
-    outcome.lacked_executors = outcome.end == work::job_end::not_run;
-    close(job, outcome);
-    return true;
-}
-
 void dispatcher::remove_earlier_waiters(job_record& job, std::uint64_t ticket) {
     std::vector<waiter> removed;
     std::erase_if(job.waiters, [&](waiter& it) {
@@ -369,6 +354,9 @@
         has_waiting_tasks = has_waiting_tasks || (job->has_waiting() && !job->is_held_back());
         waits_for_cores = waits_for_cores || (!job->is_held_back() && is_waiting_for_cores(*job));
         const auto group = rank_of(*job, now).group;
+        if (group == urgency::late && return_late_job(job)) {
+            continue;
+        }
         if (now + answer_margin >= job->give_up_at()) {
             give_up(job, refusal_cause::patience, "its caller's patience ends");
         } else if (group == urgency::too_late) {
@@ -411,27 +399,6 @@
     });
 }
 
-void dispatcher::return_stranded_jobs(bool has_capacity, time_point now) {
-    const auto& executors = m_executor_manager.executors();
-    if (has_capacity) {
-        m_had_capacity_at = now;
-    }
-    const bool is_outage = now - m_had_capacity_at > tolerated_outage;
-    for (auto it = m_jobs.begin(); it != m_jobs.end();) {
-        const auto job = it++;
-        if (job->may_have_run() || !job->has_waiting()) {
-            continue;
-        }
-        if (is_outage) {
-            auto outcome = given_up_outcome(*job, refusal_cause::no_executors, no_executor_left);
-            outcome.lacked_executors = true;
-            close(job, outcome);
-        } else if (m_had_capacity_at == now && !has_fitting_executors(job->job(), executors)) {
-            give_up(job, refusal_cause::none_fits, "no executor is large enough any more");
-        }
-    }
-}
-
 void dispatcher::note_starts(const job_record& job,
                              const std::vector<const task_record*>& started) {
     if (started.empty()) {
--- a/source/core/cell/dispatcher.h
+++ b/source/core/cell/dispatcher.h
@@ -172,6 +172,14 @@
     // Whether tasks wait only because too few cores are free, so that the executors' utilization
     // shows how far they can be used.
     bool is_waiting_for_cores(const job_record& job) const;
+    // Whether the job is expected to end after its objective, behind the jobs that go first.
+    bool would_be_late(const job_record& candidate) const;
+    // The outcome of a job that is returned on arrival; nullopt if it is not.
+    std::optional<work::outcome> return_if_late_here(const job_record& candidate,
+                                                     const admission_view& view);
+    // Closes a waiting job that is late now and that other cells may take. Returns whether it was
+    // closed.
+    bool return_late_job(job_list::iterator job);
     // Returns jobs that have not run and that no executor here takes any more: another cell may.
     void return_stranded_jobs(bool has_capacity, common::time_point now);
     admission_view view_for(const job_record& candidate) const;
--- a/source/core/gateway/forwarding_codec.cpp
+++ b/source/core/gateway/forwarding_codec.cpp
@@ -64,6 +64,7 @@
     message.set_waited_ms(it.job.waited.count());
     message.set_from(it.from);
     message.set_earlier_offers(static_cast<std::uint32_t>(std::max(it.job.earlier_offers, 0)));
+    message.set_has_alternatives(it.job.has_alternatives);
     message.set_number(it.number);
     message.set_from_incarnation(it.from_incarnation);
     if (it.stamp) {
@@ -93,6 +94,7 @@
     it.job.waited = bounded(message.waited_ms());
     it.job.earlier_offers =
         static_cast<int>(std::min<std::uint32_t>(message.earlier_offers(), max_earlier_offers));
+    it.job.has_alternatives = message.has_alternatives();
     it.from = message.from();
     it.number = message.number();
     it.from_incarnation = message.from_incarnation();
@@ -108,6 +110,7 @@
     message.set_reason(it.reason);
     message.set_retry_after_ms(it.retry_after.count());
     message.set_lacked_executors(it.lacked_executors);
+    message.set_would_be_late(it.would_be_late);
     return message.SerializeAsString();
 }
 
@@ -120,7 +123,7 @@
     return work::outcome{
         static_cast<work::job_end>(message.end()), message.reason(),
         std::clamp(milliseconds(message.retry_after_ms()), milliseconds(0), cell::max_retry_after),
-        message.lacked_executors()};
+        message.lacked_executors(), message.would_be_late()};
 }
 
 std::string encode(const abandoned_job& it) {
--- a/source/core/gateway/gateway.cpp
+++ b/source/core/gateway/gateway.cpp
@@ -17,6 +17,9 @@
 constexpr std::size_t max_cells_without_executors = 3;
 // A cell that refused a job is not asked again sooner: a typical task has ended there by then.
 constexpr milliseconds min_time_to_ask_again{100};
+// Cells that are asked whether they can be on time with a job, before one may be late with it. Each
+// offer costs processor time of both entries.
+constexpr std::size_t max_cells_asked_for_on_time = 2;
 // An answer that takes longer than this many times the objective has no value.
 constexpr int max_lateness_factor = 3;
 
@@ -116,6 +119,7 @@
     }
     open.target = list[*best].name;
     open.tried[open.target] = m_clock.now();
+    open.job.has_alternatives = !open.accepts_lateness && list.size() > 1;
     const auto now = m_clock.now();
     const auto left = std::chrono::duration_cast<milliseconds>(open.give_up_at - now);
     open.job.waited = std::chrono::duration_cast<milliseconds>(now - open.first_sent);
@@ -125,10 +129,13 @@
     }
     open.job.patience = left;
     if (open.target == m_view.self().name) {
+        open.own_ticket = 0;
         const auto own_ticket = m_own.submit(
             open.job, [this, ticket](const work::outcome& it) { on_outcome(ticket, it); });
-        if (const auto it = m_open.find(ticket);
-            it != m_open.end() && it->second.target == m_view.self().name) {
+        const auto it = m_open.find(ticket);
+        // Refused at once, the job may have been offered to the own cell again.
+        if (it != m_open.end() && it->second.target == m_view.self().name &&
+            it->second.own_ticket == 0) {
             it->second.own_ticket = own_ticket;
         }
         return;
@@ -270,9 +277,24 @@
     on_refused(ticket, outcome);
 }
 
+void gateway::on_late(open_job& open, const work::outcome& outcome) const {
+    open.late_at.insert(open.target);
+    open.retry_after =
+        std::min(open.retry_after.value_or(cell::max_retry_after), outcome.retry_after);
+    open.accepts_lateness = open.late_at.size() >= max_cells_asked_for_on_time ||
+                            targets(open.tried).empty();
+    if (open.accepts_lateness) {
+        for (const auto& it : open.late_at) {
+            open.tried.erase(it);
+        }
+    }
+}
+
 void gateway::on_refused(std::uint64_t ticket, const work::outcome& outcome) {
     auto& open = m_open.at(ticket);
-    if (!outcome.lacked_executors) {
+    if (outcome.would_be_late) {
+        on_late(open, outcome);
+    } else if (!outcome.lacked_executors) {
         open.job.earlier_offers++;
         open.retry_after = std::min(open.retry_after.value_or(cell::max_retry_after),
                                     std::max(outcome.retry_after, cell::min_retry_after));
@@ -285,7 +307,7 @@
         place(ticket);
         return;
     }
-    if (open.job.earlier_offers == 0) { // all that were asked lacked executors
+    if (open.job.earlier_offers == 0 && !outcome.would_be_late) { // all that were asked lacked executors
         open.tried.clear();
         wait_or_refuse(ticket);
         return;
--- a/source/core/gateway/gateway.h
+++ b/source/core/gateway/gateway.h
@@ -93,6 +93,9 @@
         cell::done_callback done;
         std::string target; // name of an entry; this entry's own for the local dispatcher
         std::map<std::string, common::time_point> tried; // when it was offered, or refused there
+        // Cells that would have been late with it. Asked again once no other cell is left to ask.
+        std::set<std::string> late_at;
+        bool accepts_lateness = false; // every cell that was to be asked would be late
         // Shortest of those that cells have refused it with.
         std::optional<common::milliseconds> retry_after;
         std::uint64_t own_ticket = 0;
@@ -119,6 +122,8 @@
     // again.
     void forget_old_refusals(open_job& it) const;
     void on_refused(std::uint64_t ticket, const work::outcome& outcome);
+    // The cell that has returned the job would be late with it.
+    void on_late(open_job& open, const work::outcome& outcome) const;
     void note_not_offered_further(const open_job& it) const;
     // The room that was counted for a forward is free, as its job was refused.
     void return_room(const std::string& entry, std::uint64_t forward_number);
--- a/source/core/work/job.h
+++ b/source/core/work/job.h
@@ -48,6 +48,8 @@
     common::milliseconds patience{0}; // how long the caller still waits for the answer
     common::milliseconds waited{0};   // lower bound of the time since the caller first sent it
     int earlier_offers = 0;           // of this request, that cells have refused
+    // Other cells may take it: one that would be late with it is to return it at once.
+    bool has_alternatives = false;
 
     bool operator==(const job&) const = default;
 
@@ -84,6 +86,7 @@
     std::string reason;                  // a short text for logs and the caller
     common::milliseconds retry_after{0}; // of not_run: when the caller should retry
     bool lacked_executors = false;       // of not_run: no executor of the dispatcher takes work
+    bool would_be_late = false;          // of not_run: returned because it has alternatives
 
     bool operator==(const outcome&) const = default;
 };
--- a/source/unit_tests/gateway/gateway_test.cpp
+++ b/source/unit_tests/gateway/gateway_test.cpp
@@ -176,6 +176,41 @@
     EXPECT_EQ(m_outcomes[0].end, job_end::not_run);
 }
 
+work::outcome late_here() {
+    work::outcome it{job_end::not_run, "it would be late here", milliseconds(2000)};
+    it.would_be_late = true;
+    return it;
+}
+
+// Load: all cells are full for a while. A job waited in the first one until it was late, while
+// another one would have been free in time.
+TEST_F(a_gateway, asks_two_cells_to_be_on_time_before_one_may_be_late) {
+    receive("near", "d", 640000);
+    receive("farther", "other", 640000);
+    receive("distant", "third", 640000);
+    submit();
+    for (std::size_t i = 0; i < 2; i++) {
+        ASSERT_EQ(m_client.sent.size(), i + 1);
+        EXPECT_TRUE(m_client.sent[i].message.job.has_alternatives);
+        m_client.sent[i].done(late_here());
+    }
+    ASSERT_EQ(m_client.sent.size(), 3U);
+    EXPECT_NE(m_client.sent[0].to, m_client.sent[1].to);
+    EXPECT_FALSE(m_client.sent[2].message.job.has_alternatives);
+    EXPECT_EQ(m_client.sent[2].message.job.earlier_offers, 0); // nobody has refused it
+    EXPECT_EQ(m_client.sent[2].to, m_client.sent[0].to);       // the best choice, late or not
+    m_client.sent[2].done(work::outcome{job_end::succeeded, "", {}});
+    ASSERT_EQ(m_outcomes.size(), 1U);
+    EXPECT_EQ(m_outcomes[0].end, job_end::succeeded);
+}
+
+TEST_F(a_gateway, lets_the_only_cell_be_late) {
+    receive("near", "d", 640000);
+    submit();
+    ASSERT_EQ(m_client.sent.size(), 1U);
+    EXPECT_FALSE(m_client.sent[0].message.job.has_alternatives);
+}
+
 // While a dispatcher stops, its successor may not hold the executors yet, so the job is retried
 // instead of refused.
 TEST_F(a_gateway, retries_a_job_whose_dispatcher_has_released_its_executors) {
@@ -618,9 +653,11 @@
     it.job.steps.push_back(it.job.steps[0]);
     it.job.steps[1].depends_on = {0};
     it.job.earlier_offers = 2;
+    it.job.has_alternatives = true;
     EXPECT_EQ(decode_job(encode(it)), it);
     const work::outcome outcome{job_end::given_up, "why", milliseconds(1200)};
     EXPECT_EQ(decode_outcome(encode(outcome)), outcome);
+    EXPECT_EQ(decode_outcome(encode(late_here())), late_here());
     EXPECT_FALSE(decode_job(""));
     EXPECT_FALSE(decode_job("\x01\x02"));
 }
