A report is requested beside one that may be lost

Cause: the ends of runs are learnt from one long-polled report; a lost one counted as missing only after 520 ms, in which the executor's places stayed occupied and its jobs became late; then the executor got no work. Change: a second report is requested when the first is out for 30 ms longer than its wait, or once when a run is past its expected end by half. A lost report does not count as missing when a later one was answered.

--- a/source/core/cell/executor_manager.cpp
+++ b/source/core/cell/executor_manager.cpp
@@ -224,6 +224,27 @@
     request_report(it, it.runs.empty() ? m_limits.idle_report_wait : m_limits.report_wait);
 }
 
+void executor_manager::hedge_report_if_due(executor_record& it) {
+    if (it.state != claim_state::held || it.is_unresponsive() || it.pending_reports.size() != 1) {
+        return;
+    }
+    const auto now = m_clock.now();
+    const auto& pending = it.pending_reports.front();
+    const bool is_overdue = now - pending.sent_at > pending.wait + m_limits.hedge_slack;
+    const bool has_run_past_end = std::any_of(it.runs.begin(), it.runs.end(), [&](const auto& entry) {
+        const auto& run = entry.second;
+        const auto usual_end = run.started_at + run.expected * 3 / 2 + m_limits.hedge_slack;
+        return run.state == run_state::running && run.expected.count() > 0 && now > usual_end &&
+               now - pending.sent_at > m_limits.hedge_slack && !run.is_end_asked_for;
+    });
+    if (!it.runs.empty() && (is_overdue || has_run_past_end)) {
+        for (auto& [key, run] : it.runs) {
+            run.is_end_asked_for = true;
+        }
+        request_report(it, milliseconds(0));
+    }
+}
+
 bool executor_manager::can_start_runs() const {
     return !was_suspended() && !m_stalls.is_catching_up();
 }
@@ -522,6 +543,7 @@
     const auto now = m_clock.now();
     check_runs(it);
     renew_if_due(it);
+    hedge_report_if_due(it);
     reclaim_if_due(it);
     if (it.pending_reports.empty() && now >= it.next_report_request) {
         request_next_report(it);
--- a/source/core/cell/executor_manager.h
+++ b/source/core/cell/executor_manager.h
@@ -149,6 +149,9 @@
     void on_claim_rejected(executor_record& it);
     void request_report(executor_record& it, common::milliseconds wait);
     void request_next_report(executor_record& it);
+    // Requests a report beside one that may be lost, so that the ends of runs are learnt before it
+    // counts as missing.
+    void hedge_report_if_due(executor_record& it);
     void renew_if_due(executor_record& it);
     void send_stop(executor_record& it, const work::run_key& key, run_record& run);
     void note_unanswered_stop(const executor_record& it, const work::run_key& key, run_record& run);
--- a/source/core/cell/executor_record.h
+++ b/source/core/cell/executor_record.h
@@ -37,6 +37,7 @@
     std::optional<common::time_point> stop_sent_at;       // latest
     std::optional<common::time_point> stop_first_sent_at; // for the log
     bool is_stop_logged_as_unanswered = false;
+    bool is_end_asked_for = false; // by a report requested beside the pending one
     // Set when its job has ended: no lease is granted on the executor beyond this time.
     std::optional<common::time_point> ends_by;
     std::optional<common::time_point> stop_acknowledged_at; // later start orders are rejected
@@ -108,8 +109,9 @@
     // When a connection broke; unset when the executor answers again.
     std::optional<common::time_point> connection_lost_at;
     bool has_crashed = false; // its process has ended, and none has answered since
-    // When the latest report arrived.
+    // When the latest report arrived, and when the newest that was answered had been requested.
     std::optional<common::time_point> reported_at;
+    common::time_point answered_request_at;
 
     work::resources free() const { return info.capacity - used; }
     bool is_cold(common::time_point now) const { return now < cold_until; }
--- a/source/core/cell/executor_reports.cpp
+++ b/source/core/cell/executor_reports.cpp
@@ -22,9 +22,14 @@
     const pending_report request = *pending;
     it->pending_reports.erase(pending);
     if (status != work::order_status::accepted) {
+        if (status == order_status::no_answer && request.sent_at < it->answered_request_at) {
+            request_next_report(*it); // lost on the way: the executor has answered since
+            return;
+        }
         on_report_failure(*it, status);
         return;
     }
+    it->answered_request_at = std::max(it->answered_request_at, request.sent_at);
     if (it->missed_reports > 0) {
         m_observer.executor_changed(executor, "executor_answers",
                                     "a report arrived after missed ones");
