--- a/source/core/cell/executor_manager.cpp
+++ b/source/core/cell/executor_manager.cpp
@@ -287,6 +287,12 @@
     return true;
 }
 
+bool executor_manager::may_resend_start(const executor_record& it, const run_record& run) const {
+    return run.state == run_state::starting && run.starts_sent == 1 && !it.is_unresponsive() &&
+           !was_suspended() && !m_stalls.is_catching_up() && it.state == claim_state::held &&
+           !it.is_drained;
+}
+
 void executor_manager::resend_start(executor_record& it, const work::run_key& key,
                                     run_record& run) {
     run.starts_sent++;
@@ -445,11 +451,11 @@
         return;
     case order_status::no_answer:
     case order_status::connection_lost:
-        if (record.state == run_state::starting && is_only_copy && !it->is_unresponsive() &&
-            !was_suspended() && !m_stalls.is_catching_up() && it->state == claim_state::held &&
-            !it->is_drained) {
+        record.starts_unanswered++;
+        if (may_resend_start(*it, record)) {
             resend_start(*it, run, record);
-        } else if (record.state == run_state::starting) {
+        } else if (record.state == run_state::starting &&
+                   record.starts_unanswered == record.starts_sent) {
             send_stop(*it, run, record);
         }
         return;
@@ -519,6 +525,9 @@
     std::vector<work::run_key> expired;
     for (auto& [key, run] : it.runs) {
         note_unanswered_stop(it, key, run);
+        if (may_resend_start(it, run) && now - run.started_at > m_limits.hedge_slack) {
+            resend_start(it, key, run); // the executor's answer to the first may be lost
+        }
         const bool is_overdue =
             run.state == run_state::running && now - run.started_at > run.time_limit;
         if (is_overdue && !it.has_crashed) {
--- a/source/core/cell/executor_record.h
+++ b/source/core/cell/executor_record.h
@@ -30,6 +30,7 @@
     run_state state = run_state::starting;
     common::time_point started_at;
     int starts_sent = 1; // 2 after a resend
+    int starts_unanswered = 0;
     // The process whose clock is known has confirmed its only start order, so that no other process
     // of the executor can have it.
     bool is_of_known_process = false;
--- a/source/unit_tests/cell/lost_answers_test.cpp
+++ b/source/unit_tests/cell/lost_answers_test.cpp
@@ -1,5 +1,6 @@
 // Load pattern: executors leave some orders unanswered, or carry them out seconds later. Tests that
-// a lost answer costs little: the ends of runs are learnt long before the order counts as unanswered.
+// a lost answer costs little: the ends of runs are learnt, and starts repeated, long before the
+// order counts as unanswered.
 #include <gtest/gtest.h>
 
 #include "core/cell/dispatcher.h"
@@ -120,5 +121,20 @@
     EXPECT_EQ(m_orders.reports.size(), reports);
 }
 
+// A start order that was lost was repeated after 150 ms, more than a short job can wait.
+TEST_F(an_executor, gets_a_start_order_again_that_it_does_not_answer) {
+    run_for(milliseconds(80));
+    ASSERT_EQ(m_orders.starts.size(), 2U);
+    EXPECT_EQ(m_orders.starts[1].run, m_orders.starts[0].run);
+    EXPECT_TRUE(m_orders.starts[1].is_repeat);
+    // The repeated order may still be answered when the first one counts as lost.
+    const auto& run = m_orders.starts[0].run;
+    m_manager.on_start_reply("e0", run, {order_status::no_answer, std::nullopt});
+    EXPECT_EQ(m_orders.stops, 0);
+    m_manager.on_start_reply("e0", run, {order_status::no_answer, std::nullopt});
+    EXPECT_EQ(m_orders.stops, 1);
+    EXPECT_EQ(m_orders.starts.size(), 2U);
+}
+
 } // namespace
 } // namespace savorytrail::cell
