Soak: tasks that crash the executors that start them

A tenth of the jobs now does in soak_of_crashing_tasks, beside kills, stops, pauses, cuts and store outages; the emulator counts starts beyond the platform's bound with the checker that the simulations use.

--- a/source/integration_tests/platform_soak_test.cpp
+++ b/source/integration_tests/platform_soak_test.cpp
@@ -4,9 +4,9 @@
 // changes, and proxy faults (resets, delays, traffic dropped in one or both directions) between
 // entries and to executors and the store. With three domains also entries that lose power, faults
 // of connections or datagrams alone, several links cut at once, and stop orders that are lost or
-// late. Meanwhile callers send jobs and resend them as the platform specifies.
-// Checks that no task runs twice at once, that a job refused as not run has not run, and that every
-// caller is answered in time. SAVORY_SOAK_SEED replays a run, SAVORY_SOAK_SECONDS sets its length.
+// late. In one kind of run some tasks crash the executors that start them. Meanwhile callers send jobs and resend them as the platform specifies.
+// Checks that no task runs twice at once, that a job refused as not run has not run, that every
+// caller is answered in time, and that a task that crashes executors is given up after a few. SAVORY_SOAK_SEED replays a run, SAVORY_SOAK_SECONDS sets its length.
 #include <algorithm>
 #include <array>
 #include <atomic>
@@ -49,7 +49,8 @@
     milliseconds patience_range{0};
     int percent_broken = 0; // of the attempts, whose connection breaks early
     int percent_long = 0;   // of the jobs, whose tasks take more than half of the longest time
-    int busy_threads = 0;   // compete with the entries for the processors
+    int percent_crashing = 0; // of the jobs, whose tasks crash the executors that start them
+    int busy_threads = 0;     // compete with the entries for the processors
 };
 
 class soak : public testing::TestWithParam<std::uint64_t> {
@@ -106,15 +107,17 @@
         while (!m_is_stopping) {
             const auto id = platform_fleet::new_id();
             const int ms = pick_task_ms(random);
-            const int tasks = 1 + static_cast<int>(random() % 4);
+            const bool is_crashing = m_plan.percent_crashing > 0 &&
+                                     static_cast<int>(random() % 100) < m_plan.percent_crashing;
+            const int tasks = is_crashing ? 1 : 1 + static_cast<int>(random() % 4);
+            const auto payload = "27000 " + std::to_string(ms) + (is_crashing ? " crash" : "");
             bool is_refused = false;
             for (int i = 0; i < max_sends && !m_is_stopping; i++) {
                 const auto start = steady_clock::now();
                 const auto patience = pick_patience(random);
                 const int entry = pick_entry(random);
                 const auto paused_before = m_paused_ms.at(entry).load();
-                const int status =
-                    m_fleet.submit(entry, "27000 " + std::to_string(ms), tasks, ms, id, patience);
+                const int status = m_fleet.submit(entry, payload, tasks, ms, id, patience);
                 const auto elapsed = steady_clock::now() - start;
                 // A paused entry cannot respond, so its pause extends the limit.
                 const milliseconds paused(m_paused_ms.at(entry) - paused_before);
@@ -327,6 +330,25 @@
 
 INSTANTIATE_TEST_SUITE_P(seeds, soak_of_drains, testing::Values(1, 2));
 
+// Some tasks crash the executors that start them, while entries and executors fail by themselves.
+class soak_of_crashing_tasks : public soak {
+protected:
+    soak_of_crashing_tasks()
+        : soak({.fleet = {.entries = 4,
+                          .executors = 8,
+                          .domains = {"a", "b"},
+                          .with_links = true},
+                .percent_crashing = 10}) {}
+};
+
+TEST_P(soak_of_crashing_tasks, keeps_the_promises) {
+    run();
+    EXPECT_GT(m_fleet.platform().crashes_by_tasks(), 0U) << "seed " << m_seed;
+    EXPECT_EQ(m_fleet.platform().starts_beyond_budget(), 0) << "seed " << m_seed;
+}
+
+INSTANTIATE_TEST_SUITE_P(seeds, soak_of_crashing_tasks, testing::Values(1, 2));
+
 // Two entries in each of three failure domains. Faults last for a while each, beside others.
 class soak_of_three_domains : public soak {
 protected:
--- a/source/stand_ins/users_platform/emulator.cpp
+++ b/source/stand_ins/users_platform/emulator.cpp
@@ -23,14 +23,17 @@
     return std::chrono::steady_clock::now();
 }
 
-// The payload of a job gives the CPU and the duration of its tasks, and whether they fail:
-// "CPU_MILLIS MILLISECONDS [fail]", or any other word, by which set_interference() tells payloads
-// apart.
+// The payload of a job gives the CPU and the duration of its tasks, and whether they fail, or crash
+// their executors halfway: "CPU_MILLIS MILLISECONDS [fail|crash]", or any other word, by which
+// set_interference() tells payloads apart.
 cell::simulated_executor::simulated_task parse_payload(const std::string& payload) {
     const auto space = payload.find(' ');
+    const milliseconds work(std::stoll(payload.substr(space + 1)));
+    const auto crashes_after = payload.ends_with(" crash") ? std::optional(work / 2) : std::nullopt;
     return {{std::stoll(payload.substr(0, space)), 64, 0},
-            milliseconds(std::stoll(payload.substr(space + 1))),
-            payload.ends_with(" fail")};
+            work,
+            payload.ends_with(" fail"),
+            crashes_after};
 }
 
 } // namespace
@@ -59,6 +62,7 @@
     cell::simulated_executor simulated;
     std::unique_ptr<reactor::http_server> server;
     stop_fault on_stop = stop_fault::none;
+    std::size_t crashes_counted = 0; // of those by tasks
 };
 
 emulator::emulator(options its_options) : m_options(std::move(its_options)) {}
@@ -103,6 +107,7 @@
     const std::lock_guard lock(m_mutex);
     for (const auto& it : m_executors) {
         it->simulated.advance(now());
+        m_crash_budget.count_crashes(it->simulated, it->crashes_counted);
     }
     note_overlaps();
     note_interfering_runs();
@@ -266,6 +271,15 @@
     }
 }
 
+std::size_t emulator::crashes_by_tasks() {
+    const std::lock_guard lock(m_mutex);
+    std::size_t sum = 0;
+    for (const auto& it : m_executors) {
+        sum += it->simulated.crashed_by().size();
+    }
+    return sum;
+}
+
 std::size_t emulator::interfering_runs() {
     const std::lock_guard lock(m_mutex);
     return m_interfering_runs.size();
@@ -392,6 +406,7 @@
             m_starts++;
             m_starts_in[simulated.info().failure_domain]++;
             m_started_jobs.insert(order.run.task.job);
+            m_starts_beyond_budget += m_crash_budget.note_start(order.run.task) ? 1 : 0;
             advance();
         }
         to->send(codec::encode_reply(reply));
--- a/source/stand_ins/users_platform/emulator.h
+++ b/source/stand_ins/users_platform/emulator.h
@@ -15,6 +15,7 @@
 
 #include "core/reactor/http_server.h"
 #include "platform/rows_codec.h"
+#include "stand_ins/users_platform/crash_budget.h"
 #include "stand_ins/users_platform/simulated_executor.h"
 
 namespace savorytrail::stand_ins {
@@ -114,6 +115,10 @@
     void set_interference(std::vector<interference> pairs);
     // How many pairs of runs that interfere have been together on an executor, each counted once.
     std::size_t interfering_runs();
+    // Starts of tasks after so many executors have crashed under them that they had to be given up.
+    int starts_beyond_budget() const { return m_starts_beyond_budget; }
+    // How many executors tasks have crashed.
+    std::size_t crashes_by_tasks();
     static constexpr common::milliseconds stop_delay{600};
 
     static constexpr std::uint16_t store_port = 8169;
@@ -170,6 +175,8 @@
     std::vector<interference> m_interference;
     std::set<std::pair<work::run_key, work::run_key>> m_interfering_runs;
     std::vector<answer> m_unanswered;
+    cell::crash_budget m_crash_budget;
+    std::atomic<int> m_starts_beyond_budget = 0;
     std::atomic<std::uint64_t> m_starts = 0;
     std::atomic<bool> m_is_store_down = false;
     std::thread m_thread;
--- a/source/unit_tests/cell/simulated_cell.h
+++ b/source/unit_tests/cell/simulated_cell.h
@@ -11,7 +11,7 @@
 
 #include "core/cell/dispatcher.h"
 #include "stand_ins/users_platform/simulated_executor.h"
-#include "unit_tests/cell/crash_budget.h"
+#include "stand_ins/users_platform/crash_budget.h"
 
 namespace savorytrail::cell {
 
