--- a/source/core/cell/dispatcher.cpp
+++ b/source/core/cell/dispatcher.cpp
@@ -80,6 +80,11 @@
     }
 }
 
+job_record dispatcher::make_record(const work::job& job) const {
+    return {m_limits.learns_durations ? m_durations.with_predicted_durations(job) : job, job,
+            m_limits, m_clock.now()};
+}
+
 std::uint64_t dispatcher::add(const work::job& job, waiter first) {
     const auto ticket = m_next_ticket++;
     first.ticket = ticket;
@@ -92,7 +97,7 @@
         }
         return ticket;
     }
-    job_record record(m_durations.with_predicted_durations(job), job, m_limits, m_clock.now());
+    job_record record = make_record(job);
     if (const auto* task = find_proven_task(record)) {
         first.done(crashed_outcome(record, *task));
         return ticket;
--- a/source/core/cell/dispatcher.h
+++ b/source/core/cell/dispatcher.h
@@ -121,6 +121,7 @@
     using job_list = std::list<job_record>;
 
     job_list::iterator find(const std::string& id);
+    job_record make_record(const work::job& job) const;
     std::uint64_t add(const work::job& job, waiter first);
     waiter make_leased_waiter(common::time_point held_until, done_callback done) const;
     common::time_point removal_time(common::time_point held_until) const;
@@ -215,7 +216,7 @@
     crash_risk m_crash_risk;
     task_starter m_starter{m_limits, m_clock,   m_executor_manager, m_stopping_runs, m_durations,
                            m_speeds, m_packing, m_interference,     m_crashes};
-    admission m_admission{fair_limits()};
+    admission m_admission{fair_limits(m_limits.shares_fairly)};
     capacity_meter m_capacity_meter;
     common::time_point m_had_capacity_at;
     double m_typical_task_cpu_millis = 0; // of recent jobs; 0 before the first
--- a/source/core/cell/dispatcher_explanation.cpp
+++ b/source/core/cell/dispatcher_explanation.cpp
@@ -15,7 +15,7 @@
     const auto until = [now](time_point at) {
         return std::chrono::duration_cast<milliseconds>(at - now);
     };
-    job_record candidate(m_durations.with_predicted_durations(job), job, m_limits, now);
+    job_record candidate = make_record(job);
     placement_explanation it;
     const auto candidate_rank = rank_of(candidate, now);
     it.group = candidate_rank.group;
--- a/source/core/cell/dispatcher_returns.cpp
+++ b/source/core/cell/dispatcher_returns.cpp
@@ -80,7 +80,8 @@
 
 std::optional<work::outcome> dispatcher::return_if_late_here(const job_record& candidate,
                                                              const admission_view& view) {
-    if (!candidate.job().has_alternatives || !would_be_late(candidate)) {
+    if (!m_limits.returns_late_jobs || !candidate.job().has_alternatives ||
+        !would_be_late(candidate)) {
         return std::nullopt;
     }
     m_observer.job_event(candidate.job().id, "job_returned", absl::StrCat(late_here, "; ", describe(view, room_of(candidate))));
@@ -91,7 +92,8 @@
 }
 
 bool dispatcher::return_late_job(job_list::iterator job) {
-    if (!job->job().has_alternatives || job->may_have_run() || !job->has_waiting()) {
+    if (!m_limits.returns_late_jobs || !job->job().has_alternatives || job->may_have_run() ||
+        !job->has_waiting()) {
         return false;
     }
     auto outcome = given_up_outcome(*job, refusal_cause::late_here, late_here);
--- a/source/core/cell/executor_manager.cpp
+++ b/source/core/cell/executor_manager.cpp
@@ -225,7 +225,8 @@
 }
 
 void executor_manager::hedge_report_if_due(executor_record& it) {
-    if (it.state != claim_state::held || it.is_unresponsive() || it.pending_reports.size() != 1) {
+    if (!m_limits.hedges_reports || it.state != claim_state::held || it.is_unresponsive() ||
+        it.pending_reports.size() != 1) {
         return;
     }
     const auto now = m_clock.now();
@@ -525,7 +526,8 @@
     std::vector<work::run_key> expired;
     for (auto& [key, run] : it.runs) {
         note_unanswered_stop(it, key, run);
-        if (may_resend_start(it, run) && now - run.started_at > m_limits.hedge_slack) {
+        if (m_limits.repeats_starts_early && may_resend_start(it, run) &&
+            now - run.started_at > m_limits.hedge_slack) {
             resend_start(it, key, run); // the executor's answer to the first may be lost
         }
         const bool is_overdue =
--- a/source/core/cell/fair_admission.h
+++ b/source/core/cell/fair_admission.h
@@ -12,6 +12,9 @@
 namespace savorytrail::cell {
 
 struct fair_limits {
+    explicit fair_limits(bool its_is_on = true) : is_on(its_is_on) {}
+
+    bool is_on = true; // if not, every queue has a share left
     // Time constant of the average of offered work.
     common::milliseconds window{1000};
     // The fraction of the capacity that is shared out; below 1, so that admitted work does not
--- a/source/core/cell/limits.h
+++ b/source/core/cell/limits.h
@@ -58,6 +58,18 @@
     common::milliseconds catch_up_after{160};
     // Whether placement keeps kinds of tasks apart that slow each other down.
     bool avoids_interference = true;
+    // Whether a job that would be late here is returned to its entry if other cells may take it.
+    bool returns_late_jobs = true;
+    // Whether a report is requested beside one that may be lost, and a start order repeated before
+    // it counts as unanswered.
+    bool hedges_reports = true;
+    bool repeats_starts_early = true;
+    // Whether durations are predicted by those observed, or taken as callers estimate them.
+    bool learns_durations = true;
+    // Whether placement follows the speeds that executors have shown.
+    bool places_by_speed = true;
+    // Whether under overload a queue is limited to its fair share.
+    bool shares_fairly = true;
     // Whether less urgent jobs wait while more urgent ones lack free capacity. Off: under lasting
     // overload the jobs that wait become late, which costs more than the urgent ones gain.
     bool reserves_capacity = false;
--- a/source/core/cell/task_starter.cpp
+++ b/source/core/cell/task_starter.cpp
@@ -58,7 +58,7 @@
     request.has_begun_in = [this, &job](const std::string& domain) {
         return has_begun_in(job, domain);
     };
-    if (m_speeds.do_differ()) {
+    if (m_limits.places_by_speed && m_speeds.do_differ()) {
         request.speeds = &m_speeds;
         request.expected = request.step->estimate;
         request.left =
