--- a/source/core/cell/executor_manager.cpp
+++ b/source/core/cell/executor_manager.cpp
@@ -40,8 +40,8 @@
         assigned.insert(info.id);
         auto& slot = m_executors[info.id];
         if (!slot) {
-            slot = std::make_unique<executor_record>(info, m_limits,
-                                                     m_fences(claim_attempt::first));
+            slot =
+                std::make_unique<executor_record>(info, m_limits, m_fences(claim_attempt::first));
             slot->is_adopted = adopted.contains(info.id);
             slot->cold_until = m_clock.now() + info.cold_left;
             apply_drains(*slot);
@@ -144,7 +144,8 @@
 void executor_manager::on_claim_rejected(executor_record& it) {
     it.fence = m_fences(claim_attempt::repeated);
     if (it.rejected_claims++ == 0) {
-        // The holder before may have ended; one that lives takes it back, and then claims alternate.
+        // The holder before may have ended; one that lives takes it back, and then claims
+        // alternate.
         claim(it);
         return;
     }
@@ -232,12 +233,13 @@
     const auto now = m_clock.now();
     const auto& pending = it.pending_reports.front();
     const bool is_overdue = now - pending.sent_at > pending.wait + m_limits.hedge_slack;
-    const bool has_run_past_end = std::any_of(it.runs.begin(), it.runs.end(), [&](const auto& entry) {
-        const auto& run = entry.second;
-        const auto usual_end = run.started_at + run.expected * 3 / 2 + m_limits.hedge_slack;
-        return run.state == run_state::running && run.expected.count() > 0 && now > usual_end &&
-               now - pending.sent_at > m_limits.hedge_slack && !run.is_end_asked_for;
-    });
+    const bool has_run_past_end =
+        std::any_of(it.runs.begin(), it.runs.end(), [&](const auto& entry) {
+            const auto& run = entry.second;
+            const auto usual_end = run.started_at + run.expected * 3 / 2 + m_limits.hedge_slack;
+            return run.state == run_state::running && run.expected.count() > 0 && now > usual_end &&
+                   now - pending.sent_at > m_limits.hedge_slack && !run.is_end_asked_for;
+        });
     if (!it.runs.empty() && (is_overdue || has_run_past_end)) {
         for (auto& [key, run] : it.runs) {
             run.is_end_asked_for = true;
--- a/source/core/cell/fair_admission.cpp
+++ b/source/core/cell/fair_admission.cpp
@@ -58,7 +58,8 @@
     it.tokens = std::min(it.tokens + rate * elapsed_ms, max_tokens(capacity));
     it.offered = offered(it, now) * window + std::max(cpu_demand, 0.0);
     it.at = now;
-    const bool is_limiting = m_limits.is_on && wait > m_limits.tolerated_wait && is_overloaded(capacity, now);
+    const bool is_limiting =
+        m_limits.is_on && wait > m_limits.tolerated_wait && is_overloaded(capacity, now);
     return !is_limiting || it.tokens > 0;
 }
 
--- a/source/core/fleet/heartbeat_sender.cpp
+++ b/source/core/fleet/heartbeat_sender.cpp
@@ -28,9 +28,9 @@
         const auto& link = it.link;
         // Until this entry claims executors, what it has not heard may be a lost datagram.
         const bool is_searching = !m_fleet.has_settled(now) && !it.last_heard;
-        const bool is_due = link.kind != link_kind::none &&
-                            (is_searching || !link.last_sent ||
-                             now - *link.last_sent >= interval_of(link.kind));
+        const bool is_due =
+            link.kind != link_kind::none &&
+            (is_searching || !link.last_sent || now - *link.last_sent >= interval_of(link.kind));
         if (is_due) {
             recipients.push_back(name);
         }
--- a/source/core/gateway/gateway.cpp
+++ b/source/core/gateway/gateway.cpp
@@ -281,8 +281,8 @@
     open.late_at.insert(open.target);
     open.retry_after =
         std::min(open.retry_after.value_or(cell::max_retry_after), outcome.retry_after);
-    open.accepts_lateness = open.late_at.size() >= max_cells_asked_for_on_time ||
-                            targets(open.tried).empty();
+    open.accepts_lateness =
+        open.late_at.size() >= max_cells_asked_for_on_time || targets(open.tried).empty();
     if (open.accepts_lateness) {
         for (const auto& it : open.late_at) {
             open.tried.erase(it);
@@ -307,7 +307,8 @@
         place(ticket);
         return;
     }
-    if (open.job.earlier_offers == 0 && !outcome.would_be_late) { // all that were asked lacked executors
+    if (open.job.earlier_offers == 0 &&
+        !outcome.would_be_late) { // all that were asked lacked executors
         open.tried.clear();
         wait_or_refuse(ticket);
         return;
--- a/source/integration_tests/platform_soak_test.cpp
+++ b/source/integration_tests/platform_soak_test.cpp
@@ -4,9 +4,11 @@
 // changes, and proxy faults (resets, delays, traffic dropped in one or both directions) between
 // entries and to executors and the store. With three domains also entries that lose power, faults
 // of connections or datagrams alone, several links cut at once, and stop orders that are lost or
-// late. In one kind of run some tasks crash the executors that start them. Meanwhile callers send jobs and resend them as the platform specifies.
-// Checks that no task runs twice at once, that a job refused as not run has not run, that every
-// caller is answered in time, and that a task that crashes executors is given up after a few. SAVORY_SOAK_SEED replays a run, SAVORY_SOAK_SECONDS sets its length.
+// late. In one kind of run some tasks crash the executors that start them. Meanwhile callers send
+// jobs and resend them as the platform specifies. Checks that no task runs twice at once, that a
+// job refused as not run has not run, that every caller is answered in time, and that a task that
+// crashes executors is given up after a few. SAVORY_SOAK_SEED replays a run, SAVORY_SOAK_SECONDS
+// sets its length.
 #include <algorithm>
 #include <array>
 #include <atomic>
@@ -47,8 +49,8 @@
     // patience, and wait longer to see late answers.
     milliseconds shortest_patience{2000};
     milliseconds patience_range{0};
-    int percent_broken = 0; // of the attempts, whose connection breaks early
-    int percent_long = 0;   // of the jobs, whose tasks take more than half of the longest time
+    int percent_broken = 0;   // of the attempts, whose connection breaks early
+    int percent_long = 0;     // of the jobs, whose tasks take more than half of the longest time
     int percent_crashing = 0; // of the jobs, whose tasks crash the executors that start them
     int busy_threads = 0;     // compete with the entries for the processors
 };
@@ -334,10 +336,7 @@
 class soak_of_crashing_tasks : public soak {
 protected:
     soak_of_crashing_tasks()
-        : soak({.fleet = {.entries = 4,
-                          .executors = 8,
-                          .domains = {"a", "b"},
-                          .with_links = true},
+        : soak({.fleet = {.entries = 4, .executors = 8, .domains = {"a", "b"}, .with_links = true},
                 .percent_crashing = 10}) {}
 };
 
--- a/source/unit_tests/cell/claims_after_restart_test.cpp
+++ b/source/unit_tests/cell/claims_after_restart_test.cpp
@@ -59,8 +59,8 @@
     }
 }
 
-// A claim that the fence of an ended holder rejected was repeated after 400 ms, in which a restarted
-// fleet had half of its executors.
+// A claim that the fence of an ended holder rejected was repeated after 400 ms, in which a
+// restarted fleet had half of its executors.
 TEST(a_rejected_claim, is_repeated_at_once) {
     simulated_cell cell(1, 4, {64000, 131072, 0}, 2);
     cell.at(0).assign(cell.executor_infos());
--- a/source/unit_tests/cell/simulated_cell.h
+++ b/source/unit_tests/cell/simulated_cell.h
@@ -10,8 +10,8 @@
 #include <set>
 
 #include "core/cell/dispatcher.h"
-#include "stand_ins/users_platform/simulated_executor.h"
 #include "stand_ins/users_platform/crash_budget.h"
+#include "stand_ins/users_platform/simulated_executor.h"
 
 namespace savorytrail::cell {
 
--- a/source/unit_tests/cells/simulated_entry.cpp
+++ b/source/unit_tests/cells/simulated_entry.cpp
@@ -45,8 +45,9 @@
 } // namespace
 
 simulated_entry::simulated_entry(simulated_fleet& fleet, int slot, std::uint64_t incarnation)
-    : m_fleet(fleet), m_slot(slot), m_fences(static_cast<std::uint8_t>(slot)), m_stalls(*this, own_limits().catch_up_after),
-      m_random(fleet.random()()), m_orders(fleet, *this),
+    : m_fleet(fleet), m_slot(slot), m_fences(static_cast<std::uint8_t>(slot)),
+      m_stalls(*this, own_limits().catch_up_after), m_random(fleet.random()()),
+      m_orders(fleet, *this),
       m_manager(
           own_limits(), *this, m_orders,
           [this](cell::claim_attempt it) { return m_fences.next(it, wall_ms(m_fleet)); }, *this),
--- a/source/unit_tests/cells/simulated_fleet.h
+++ b/source/unit_tests/cells/simulated_fleet.h
@@ -4,8 +4,8 @@
 
 #include <set>
 
-#include "stand_ins/users_platform/simulated_executor.h"
 #include "stand_ins/users_platform/crash_budget.h"
+#include "stand_ins/users_platform/simulated_executor.h"
 #include "unit_tests/cells/simulated_callers.h"
 #include "unit_tests/cells/simulated_entry.h"
 
