The executor manager and the dispatcher are split by what they decide

Nothing else changes but that a run is asked for once it is half past its expected end, each by itself, without 30 ms more.

--- a/source/core/cell/dispatcher.h
+++ b/source/core/cell/dispatcher.h
@@ -123,6 +123,8 @@
     job_list::iterator find(const std::string& id);
     job_record make_record(const work::job& job) const;
     std::uint64_t add(const work::job& job, waiter first);
+    // For those who sent a job before the attempt that it goes on for.
+    static work::outcome outcome_of_replaced();
     waiter make_leased_waiter(common::time_point held_until, done_callback done) const;
     common::time_point removal_time(common::time_point held_until) const;
     // Returns whether the job was closed, as no waiter is left.
--- a/source/core/cell/executor_manager.cpp
+++ b/source/core/cell/executor_manager.cpp
@@ -8,18 +8,12 @@
 using common::milliseconds;
 using work::order_status;
 
-// A run counts as expired this long after its lease's end by the estimate of the executor's clock.
-constexpr std::int64_t lease_end_margin_ms = 30;
-// Differences between the clocks' rates while an order is under way.
-constexpr std::int64_t clock_reading_margin_ms = 2;
 // Delay until an unacknowledged stop order is resent.
 constexpr milliseconds stop_retry{200};
 // A stop order that has had no answer for longer is logged.
 constexpr milliseconds unanswered_stop_logged_after{500};
 // Delay before the next start on an executor that rejected one for insufficient resources.
 constexpr milliseconds insufficient_resources_delay{60};
-// Interval of reports while runs of earlier holders are being stopped.
-constexpr milliseconds claim_poll_interval{25};
 
 } // namespace
 
@@ -113,141 +107,6 @@
     m_claims_version++;
 }
 
-void executor_manager::claim(executor_record& it) {
-    set_state(it, claim_state::claiming);
-    it.pending_reports.clear(); // a late answer to one of an earlier fence confirms nothing
-    request_report(it, milliseconds(0));
-}
-
-void executor_manager::lose_claim(executor_record& it, std::string_view reason) {
-    if (it.state == claim_state::lost) {
-        return;
-    }
-    const auto now = m_clock.now();
-    it.times_lost = now - it.lost_at < m_limits.reclaim_backoff_reset ? it.times_lost + 1 : 1;
-    set_state(it, claim_state::lost);
-    it.lost_at = now;
-    m_observer.executor_changed(it.info.id, "executor_taken", reason);
-}
-
-void executor_manager::reclaim_if_due(executor_record& it) {
-    if (it.state != claim_state::lost || it.is_retiring || it.is_adopted || !it.runs.empty()) {
-        return;
-    }
-    const auto delay = m_limits.initial_reclaim_delay * (1 << std::min(it.times_lost - 1, 8));
-    if (m_clock.now() - it.lost_at > std::min(delay, m_limits.max_reclaim_delay)) {
-        it.fence = m_fences(claim_attempt::repeated);
-        claim(it);
-    }
-}
-
-void executor_manager::on_claim_rejected(executor_record& it) {
-    it.fence = m_fences(claim_attempt::repeated);
-    if (it.rejected_claims++ == 0) {
-        // The holder before may have ended; one that lives takes it back, and then claims
-        // alternate.
-        claim(it);
-        return;
-    }
-    it.next_report_request = m_clock.now() + m_limits.unresponsive_retry;
-}
-
-common::time_point executor_manager::all_may_run_until(const executor_record& it) const {
-    auto earliest = common::time_point::max();
-    for (const auto& [key, run] : it.runs) {
-        earliest = std::min(earliest, run.ends_by ? *run.ends_by : m_listener->may_run_until(key));
-    }
-    return earliest;
-}
-
-std::int64_t executor_manager::next_lease_end(const executor_record& it) const {
-    const auto now = m_clock.now();
-    const auto full = it.clock.estimate(now) + m_limits.lease.count();
-    const auto limit = all_may_run_until(it);
-    if (limit >= now + m_limits.longest_lease) {
-        return full;
-    }
-    const auto left = std::chrono::duration_cast<milliseconds>(std::max(limit, now) - now);
-    return std::min(full, it.clock.end_of_lease(now, left));
-}
-
-void executor_manager::note_grant(executor_record& it, std::int64_t until) const {
-    it.lease_until = std::max(it.lease_until, until);
-    it.granted_at = m_clock.now();
-    it.is_grant_confirmed = false;
-}
-
-bool executor_manager::is_of_known_process(const executor_record& it, const run_record& run,
-                                           const work::order_reply& reply) const {
-    return reply.clock_ms && run.starts_sent == 1 && it.clock.is_known() &&
-           *reply.clock_ms + clock_reading_margin_ms >= it.clock.estimate(run.started_at);
-}
-
-bool executor_manager::has_lease_expired(const executor_record& it, const run_record& run) const {
-    const auto now = m_clock.now();
-    if (it.clock.estimate(now) <= it.lease_until + lease_end_margin_ms) {
-        return false;
-    }
-    // A restarted process grants its longest lease from when it receives the order.
-    const auto longest = executor_clock::longest(m_limits.longest_lease) + m_limits.order_timeout;
-    return run.is_of_known_process || it.is_grant_confirmed || now > it.granted_at + longest;
-}
-
-void executor_manager::request_report(executor_record& it, milliseconds wait) {
-    report_request request;
-    request.number = m_next_report++;
-    request.fence = it.fence;
-    request.acknowledged = it.acknowledged;
-    request.wait = wait;
-    const bool renews = it.state == claim_state::held && !was_suspended() &&
-                        !m_stalls.is_catching_up() && !it.is_unresponsive() &&
-                        it.clock.is_known() && it.foreign_runs.empty() && it.has_ongoing_run();
-    if (const auto until = renews ? next_lease_end(it) : 0; until > it.lease_until) {
-        request.until_ms = until;
-        note_grant(it, until);
-    }
-    it.pending_reports.push_back({request.number, m_clock.now(), wait});
-    m_orders.ask_report(it.info, request);
-}
-
-void executor_manager::request_next_report(executor_record& it) {
-    if (!it.pending_reports.empty() || it.state == claim_state::lost) {
-        return;
-    }
-    if (it.state == claim_state::claiming || !it.foreign_runs.empty()) {
-        request_report(it, it.foreign_runs.empty() ? milliseconds(0) : claim_poll_interval);
-        return;
-    }
-    if (it.is_unresponsive()) {
-        request_report(it, milliseconds(0)); // answered at once if the executor is reachable
-        return;
-    }
-    request_report(it, it.runs.empty() ? m_limits.idle_report_wait : m_limits.report_wait);
-}
-
-void executor_manager::hedge_report_if_due(executor_record& it) {
-    if (!m_limits.hedges_reports || it.state != claim_state::held || it.is_unresponsive() ||
-        it.pending_reports.size() != 1) {
-        return;
-    }
-    const auto now = m_clock.now();
-    const auto& pending = it.pending_reports.front();
-    const bool is_overdue = now - pending.sent_at > pending.wait + m_limits.hedge_slack;
-    const bool has_run_past_end =
-        std::any_of(it.runs.begin(), it.runs.end(), [&](const auto& entry) {
-            const auto& run = entry.second;
-            const auto usual_end = run.started_at + run.expected * 3 / 2 + m_limits.hedge_slack;
-            return run.state == run_state::running && run.expected.count() > 0 && now > usual_end &&
-                   now - pending.sent_at > m_limits.hedge_slack && !run.is_end_asked_for;
-        });
-    if (!it.runs.empty() && (is_overdue || has_run_past_end)) {
-        for (auto& [key, run] : it.runs) {
-            run.is_end_asked_for = true;
-        }
-        request_report(it, milliseconds(0));
-    }
-}
-
 bool executor_manager::can_start_runs() const {
     return !was_suspended() && !m_stalls.is_catching_up();
 }
--- a/source/core/cell/executor_reports.cpp
+++ b/source/core/cell/executor_reports.cpp
@@ -1,4 +1,4 @@
-// The part of executor_manager that processes the reports of executors.
+// The part of executor_manager that requests the reports of executors and processes them.
 #include <algorithm>
 
 #include "core/cell/executor_manager.h"
@@ -8,6 +8,73 @@
 using common::milliseconds;
 using work::order_status;
 
+namespace {
+
+// Interval of reports while runs of earlier holders are being stopped.
+constexpr milliseconds claim_poll_interval{25};
+
+// Whether the run has taken half as long again as expected, or longer: predictions are rough.
+bool is_past_expected_end(const run_record& run, common::time_point now) {
+    return run.state == run_state::running && run.expected.count() > 0 &&
+           now > run.started_at + run.expected * 3 / 2;
+}
+
+} // namespace
+
+void executor_manager::request_report(executor_record& it, milliseconds wait) {
+    report_request request;
+    request.number = m_next_report++;
+    request.fence = it.fence;
+    request.acknowledged = it.acknowledged;
+    request.wait = wait;
+    const bool renews = it.state == claim_state::held && !was_suspended() &&
+                        !m_stalls.is_catching_up() && !it.is_unresponsive() &&
+                        it.clock.is_known() && it.foreign_runs.empty() && it.has_ongoing_run();
+    if (const auto until = renews ? next_lease_end(it) : 0; until > it.lease_until) {
+        request.until_ms = until;
+        note_grant(it, until);
+    }
+    it.pending_reports.push_back({request.number, m_clock.now(), wait});
+    m_orders.ask_report(it.info, request);
+}
+
+void executor_manager::request_next_report(executor_record& it) {
+    if (!it.pending_reports.empty() || it.state == claim_state::lost) {
+        return;
+    }
+    if (it.state == claim_state::claiming || !it.foreign_runs.empty()) {
+        request_report(it, it.foreign_runs.empty() ? milliseconds(0) : claim_poll_interval);
+        return;
+    }
+    if (it.is_unresponsive()) {
+        request_report(it, milliseconds(0)); // answered at once if the executor is reachable
+        return;
+    }
+    request_report(it, it.runs.empty() ? m_limits.idle_report_wait : m_limits.report_wait);
+}
+
+void executor_manager::hedge_report_if_due(executor_record& it) {
+    if (!m_limits.hedges_reports || it.runs.empty() || it.state != claim_state::held ||
+        it.is_unresponsive() || it.pending_reports.size() != 1) {
+        return;
+    }
+    const auto now = m_clock.now();
+    const auto& pending = it.pending_reports.front();
+    const bool is_overdue = now - pending.sent_at > pending.wait + m_limits.hedge_slack;
+    const bool may_be_lost =
+        now - pending.sent_at > m_limits.hedge_slack &&
+        std::any_of(it.runs.begin(), it.runs.end(), [&](const auto& entry) {
+            return !entry.second.is_end_asked_for && is_past_expected_end(entry.second, now);
+        });
+    if (!is_overdue && !may_be_lost) {
+        return;
+    }
+    for (auto& [key, run] : it.runs) {
+        run.is_end_asked_for = run.is_end_asked_for || is_past_expected_end(run, now);
+    }
+    request_report(it, milliseconds(0));
+}
+
 void executor_manager::on_report(const std::string& executor, std::uint64_t number,
                                  order_status status, const work::run_report& report) {
     auto* it = find(executor);
