--- a/source/core/cell/limits.h
+++ b/source/core/cell/limits.h
@@ -29,8 +29,8 @@
     common::milliseconds idle_report_wait{1500};
     // Time on top of the long-poll time after which a report counts as missing.
     common::milliseconds report_slack{250};
-    // A second report is requested when the first is out for longer than its long-poll time and
-    // this, or a run is past its expected end by half of that and this: the first may be lost.
+    // Longer than the round trip to an executor: an order without an answer for this long may be
+    // lost.
     common::milliseconds hedge_slack{30};
     // Time after which an order counts as unanswered.
     common::milliseconds order_timeout{150};
