--- a/source/unit_tests/cell/timing_test.cpp
+++ b/source/unit_tests/cell/timing_test.cpp
@@ -4,6 +4,7 @@
 
 #include "core/cell/dispatcher.h"
 #include "unit_tests/cell/jobs.h"
+#include "unit_tests/cell/recorded_orders.h"
 #include "unit_tests/cell/simulated_cell.h"
 
 namespace savorytrail::cell {
@@ -13,19 +14,6 @@
 using work::job_end;
 using work::order_status;
 
-class recorded_orders final : public order_sink {
-public:
-    void start(const work::executor_info&, const start_order& it) override { starts.push_back(it); }
-    void stop(const work::executor_info&, const stop_order&) override {}
-    void ask_report(const work::executor_info&, const report_request& it) override {
-        reports.push_back(it);
-    }
-    void forget(const work::executor_info&) override {}
-
-    std::vector<start_order> starts;
-    std::vector<report_request> reports;
-};
-
 class silent_observer final : public executor_observer, public job_observer {
 public:
     void executor_changed(const std::string&, std::string_view, std::string_view) override {}
