--- a/source/core/cell/dispatcher_returns.cpp
+++ b/source/core/cell/dispatcher_returns.cpp
@@ -84,8 +84,8 @@
         !would_be_late(candidate)) {
         return std::nullopt;
     }
-    m_observer.job_event(candidate.job().id, "job_returned",
-                         absl::StrCat(late_here, "; ", describe(view, room_of(candidate))));
+    const auto detail = absl::StrCat(late_here, "; ", describe(view, room_of(candidate)));
+    m_observer.job_event(candidate.job().id, "job_returned", detail);
     m_observer.count_refusal(refusal_cause::late_here);
     work::outcome it{work::job_end::not_run, late_here, retry_after()};
     it.would_be_late = true;
