The age of what an entry knows of the store is known, logged and shared

Cause: logs and metrics could not tell whether an entry that refuses a route has an old configuration, which entries read the store, or that a fetch from another entry failed. Change: each answer of the store, and each heartbeat of an entry with the same version, confirms as of when the configuration and the list of executors were the newest. No decision rests on it yet.

--- a/source/core/fleet/entry_state.h
+++ b/source/core/fleet/entry_state.h
@@ -43,8 +43,11 @@
     bool is_leaving = false;
     bool knows_executors = false; // has read the platform's list of executors
     std::uint64_t configuration_version = 0;
+    // Time since this version was last known to be the newest; nullopt when it never was.
+    std::optional<common::milliseconds> configuration_age;
     std::uint64_t executor_list_version = 0;
-    std::uint32_t domain_executors = 0; // listed in its failure domain
+    std::optional<common::milliseconds> executor_list_age; // likewise
+    std::uint32_t domain_executors = 0;                    // listed in its failure domain
     // Time since the platform's store last answered; nullopt when it does not follow the store.
     std::optional<common::milliseconds> store_age;
     entry_load load;
--- a/source/core/fleet/heartbeat.cpp
+++ b/source/core/fleet/heartbeat.cpp
@@ -41,6 +41,12 @@
     for (const auto key : it.adopted) {
         message.add_adopted(key);
     }
+    if (it.configuration_age) {
+        message.set_configuration_age_ms(to_message(*it.configuration_age));
+    }
+    if (it.executor_list_age) {
+        message.set_executor_list_age_ms(to_message(*it.executor_list_age));
+    }
 }
 
 entry_identity from_message(const schema::entry_identity& message) {
@@ -61,6 +67,12 @@
     }
     it.load = {message.capacity_cpu_millis(), message.free_cpu_millis(), message.backlog_ms()};
     it.adopted.assign(message.adopted().begin(), message.adopted().end());
+    if (message.has_configuration_age_ms()) {
+        it.configuration_age = milliseconds(message.configuration_age_ms());
+    }
+    if (message.has_executor_list_age_ms()) {
+        it.executor_list_age = milliseconds(message.executor_list_age_ms());
+    }
     return it;
 }
 
--- a/source/core/fleet/news_selection.cpp
+++ b/source/core/fleet/news_selection.cpp
@@ -17,6 +17,8 @@
     }
     news.status = it.status;
     news.status.configuration_version = 0;
+    news.status.configuration_age.reset();
+    news.status.executor_list_age.reset();
     news.status.executor_list_version = 0;
     news.status.domain_executors = 0;
     news.age = std::chrono::duration_cast<milliseconds>(now - *it.last_sign);
--- a/source/core/fleet/store_readers.cpp
+++ b/source/core/fleet/store_readers.cpp
@@ -13,6 +13,7 @@
         const auto& age = it->status.store_age;
         readers += age && *age <= m_limits.max_store_age ? 1 : 0;
     }
+    m_others = readers;
     if (readers >= m_limits.readers_per_domain) {
         m_needed_since.reset();
         return false;
--- a/source/core/fleet/store_readers.h
+++ b/source/core/fleet/store_readers.h
@@ -24,10 +24,13 @@
 
     // Whether this entry is to read the store now.
     bool should_read(const view& fleet, common::time_point now);
+    // How many entries that go before this one read the store, as of the last call.
+    std::size_t others() const { return m_others; }
 
 private:
     const store_reader_limits m_limits;
     std::optional<common::time_point> m_needed_since;
+    std::size_t m_others = 0;
 };
 
 } // namespace savorytrail::fleet
--- a/source/core/fleet/view.cpp
+++ b/source/core/fleet/view.cpp
@@ -169,6 +169,8 @@
     // News leave out what an entry asks only of those that it has a link to.
     auto status = it.status;
     status.configuration_version = entry.status.configuration_version;
+    status.configuration_age = entry.status.configuration_age;
+    status.executor_list_age = entry.status.executor_list_age;
     status.executor_list_version = entry.status.executor_list_version;
     status.domain_executors = entry.status.domain_executors;
     learn_status(entry, status, now - it.age, now);
--- a/source/core/reactor/http_client.cpp
+++ b/source/core/reactor/http_client.cpp
@@ -242,6 +242,10 @@
 
 } // namespace
 
+std::string describe(const common::result<http_response>& it) {
+    return it ? "status " + std::to_string(it.value().status) : it.error().message();
+}
+
 http_client::http_client(loop& event_loop) : m_state(std::make_shared<state>(event_loop)) {}
 
 http_client::~http_client() {
--- a/source/core/reactor/http_client.h
+++ b/source/core/reactor/http_client.h
@@ -14,6 +14,9 @@
 
 namespace savorytrail::reactor {
 
+// Why a request did not succeed, for logs.
+std::string describe(const common::result<http_response>& it);
+
 class http_client {
 public:
     // The errors are those of common::error: unreachable (nothing was sent), timed_out,
