--- a/source/stand_ins/users_platform/emulator.cpp
+++ b/source/stand_ins/users_platform/emulator.cpp
@@ -299,10 +299,13 @@
     put(names::executor_table, info.id, codec::encode_executor(info));
 }
 
-void emulator::configure(std::uint64_t version) {
+void emulator::configure(std::uint64_t version, const std::vector<std::string>& more_prefixes) {
     const work::queue_settings queue{"q", "upstream", 0, 3, 1.6, milliseconds(60)};
-    put(names::operator_table, names::configuration_key,
-        codec::encode_configuration({version, {{"h.example", "/q/", queue, milliseconds(1500)}}}));
+    route::configuration it{version, {{"h.example", "/q/", queue, milliseconds(1500)}}};
+    for (const auto& prefix : more_prefixes) {
+        it.routes.push_back({"h.example", prefix, queue, milliseconds(1500)});
+    }
+    put(names::operator_table, names::configuration_key, codec::encode_configuration(it));
 }
 
 void emulator::put(const std::string& table, const std::string& key, const std::string& value) {
--- a/source/stand_ins/users_platform/emulator.h
+++ b/source/stand_ins/users_platform/emulator.h
@@ -74,8 +74,9 @@
     common::endpoint listed_executor(int i) const {
         return executor_at(m_options.listed_subnet, i);
     }
-    // Writes a configuration with one queue, at host "h.example", prefix "/q/".
-    void configure(std::uint64_t version);
+    // Writes a configuration with one queue at host "h.example", prefix "/q/", and others at the
+    // prefixes given.
+    void configure(std::uint64_t version, const std::vector<std::string>& more_prefixes = {});
 
     // Writes the row that drains a failure domain, or removes it.
     void drain(const std::string& domain, const std::string& value = "{}");
