An entry asks the store itself before its configuration is older than the bound

Cause: an entry that heard nothing newer took its configuration for the newest for ever. That it learns of a new one in time rested on a chain of time-outs of others: a reader counted for 2.5 s after the store's last answer to any of its calls, then the places in line, the heartbeats and the fetches; the sum is larger than the bound. Change: fleet::freshness bounds the age of the knowledge itself. Before the bound ends, an entry asks the store, on a new connection and whoever else reads; a poll that hangs is replaced. A request for a route that is not known is refused with 404 only while the configuration is current; else it waits for the check, 0.7 s at most, and gets 503. The list of executors, which drains rest on, is bounded in the same way for entries that dispatch. A reader counts only while each feed that others rely on is answered.

--- a/source/unit_tests/fleet_view/entry_network.cpp
+++ b/source/unit_tests/fleet_view/entry_network.cpp
@@ -130,6 +130,7 @@
             held.push_back(executor_key(name_of(entry) + "/" + std::to_string(i)));
         }
     }
+    m_on_status(entry, status);
     it.fleet->set_status(status);
     for (const auto& out : it.sender->due(held, m_now)) {
         const int to = std::stoi(out.to.host.substr(out.to.host.rfind('.') + 1));
@@ -150,6 +151,7 @@
     }
     if (const auto decoded = decode_heartbeat(it.bytes)) {
         m_nodes[it.to].fleet->receive(*decoded, host_of(it.from), m_now);
+        m_on_heartbeat(it.to, *decoded);
     }
 }
 
--- a/source/unit_tests/fleet_view/entry_network.h
+++ b/source/unit_tests/fleet_view/entry_network.h
@@ -50,6 +50,13 @@
     // Jobs of one entry are at the other from now on.
     void use(int from, int at) { m_uses.insert({from, at}); }
     void set_loss(double loss) { m_plan.loss = loss; }
+    // Called with what an entry is about to tell of itself, and with each heartbeat it receives.
+    using status_hook = std::function<void(int entry, entry_status& status)>;
+    using heartbeat_hook = std::function<void(int entry, const heartbeat& it)>;
+    void set_hooks(status_hook on_status, heartbeat_hook on_heartbeat) {
+        m_on_status = std::move(on_status);
+        m_on_heartbeat = std::move(on_heartbeat);
+    }
 
     bool is_running(int entry) const { return m_nodes[entry].fleet != nullptr; }
     bool sees(int entry, int other) const;
@@ -100,6 +107,8 @@
     std::vector<node> m_nodes;
     std::vector<datagram> m_in_flight;
     std::function<bool(int, int)> m_is_cut = [](int, int) { return false; };
+    status_hook m_on_status = [](int, entry_status&) {};
+    heartbeat_hook m_on_heartbeat = [](int, const heartbeat&) {};
     std::set<std::pair<int, int>> m_uses;
     std::uint64_t m_next_incarnation = 1;
     int m_false_alarms = 0;
--- a/source/unit_tests/platform_adapter/codec_test.cpp
+++ b/source/unit_tests/platform_adapter/codec_test.cpp
@@ -279,6 +279,8 @@
 graceS = 6
 holdMaxMs = 1000
 resendMs = 1200
+configMs = 2500
+drainMs = 2400
 [platform]
 address = "10.200.1.7:8169"
 [unknown]
@@ -303,6 +305,8 @@
     expected.stop_grace = milliseconds(6000);
     expected.longest_lease = milliseconds(1000);
     expected.resend_delay = milliseconds(1200);
+    expected.configuration_bound = milliseconds(2500);
+    expected.drain_bound = milliseconds(2400);
     EXPECT_EQ(it.value(), expected);
 }
 
