--- a/source/integration_tests/platform_entries_test.cpp
+++ b/source/integration_tests/platform_entries_test.cpp
@@ -80,6 +80,50 @@
     EXPECT_EQ(m_fleet.submit(1, "27000 50", 4, 50), 200);
 }
 
+// Guards against one odd row among those of the executors that ends the entries, or after which
+// they no longer follow the list.
+TEST_F(platform_entries, follow_the_list_of_executors_past_odd_rows) {
+    ASSERT_TRUE(m_fleet.wait_until_serving(0));
+    ASSERT_TRUE(m_fleet.wait_until_serving(1));
+    auto& platform = m_fleet.platform();
+    const auto row = [](const std::string& capacity, const std::string& labels,
+                        const std::string& port) {
+        return R"({"service":"upstream","zone":"a","state":"ready","address":"127.0.0.1:)" + port +
+               R"(","capacity":)" + capacity + R"(,"labels":)" + labels + "}";
+    };
+    const std::string nested = std::string(30000, '[') + std::string(30000, ']');
+    platform.write_executor_row("odd-1", row(R"({"cpu":64000,"memMb":9999})", nested, "8080"));
+    platform.write_executor_row("odd-2", row(R"({"cpu":1e300,"memMb":9999})", "[]", "8080"));
+    platform.write_executor_row("odd-3", row(R"({"cpu":64000,"memMb":9999})", "[]", "99999"));
+    platform.write_executor_row("odd-4", "\xff\xfe");
+    platform.write_executor_row(platform.executor_id(0), nested);
+    const auto held = [&] {
+        constexpr int metrics_port = 9464;
+        double sum = 0;
+        for (int i = 0; i < m_fleet.size(); i++) {
+            const auto answer = httplib::Client(m_fleet.host(i), metrics_port).Get("/metrics");
+            const std::string name = "\nsavory_cell_executors ";
+            const auto at = answer ? answer->body.find(name) : std::string::npos;
+            sum += at == std::string::npos ? 0 : std::stod(answer->body.substr(at + name.size()));
+        }
+        return sum;
+    };
+    const auto wait_for = [&](double expected) {
+        const auto end = std::chrono::steady_clock::now() + seconds(8);
+        while (held() != expected && std::chrono::steady_clock::now() < end) {
+            std::this_thread::sleep_for(milliseconds(50));
+        }
+        return held();
+    };
+    EXPECT_EQ(wait_for(3), 3) << "an executor whose row can't be read is not to be used";
+    platform.set_cold(0, milliseconds(0));
+    EXPECT_EQ(wait_for(4), 4) << "its new row was not followed";
+    for (int i = 0; i < m_fleet.size(); i++) {
+        EXPECT_TRUE(m_fleet.entry(i).running());
+        EXPECT_EQ(m_fleet.submit(i, "27000 100", 5, 100), 200);
+    }
+}
+
 TEST_F(platform_entries, stop_the_work_of_a_caller_that_left) {
     ASSERT_TRUE(m_fleet.wait_until_serving(0));
     {
--- a/source/stand_ins/users_platform/emulator.cpp
+++ b/source/stand_ins/users_platform/emulator.cpp
@@ -308,6 +308,15 @@
     put(names::operator_table, names::configuration_key, codec::encode_configuration(it));
 }
 
+void emulator::write_executor_row(const std::string& id, const std::string& value) {
+    put(names::executor_table, id, value);
+}
+
+std::string emulator::executor_id(int executor) {
+    const std::lock_guard lock(m_mutex);
+    return m_executors.at(static_cast<std::size_t>(executor))->simulated.info().id;
+}
+
 void emulator::put(const std::string& table, const std::string& key, const std::string& value) {
     const std::lock_guard lock(m_mutex);
     m_tables[table][key] = {value, ++m_version, false};
--- a/source/stand_ins/users_platform/emulator.h
+++ b/source/stand_ins/users_platform/emulator.h
@@ -81,6 +81,9 @@
     // Writes the row that drains a failure domain, or removes it.
     void drain(const std::string& domain, const std::string& value = "{}");
     void end_drain(const std::string& domain);
+    // Writes a row of any content among those of the executors.
+    void write_executor_row(const std::string& id, const std::string& value);
+    std::string executor_id(int executor);
     // Writes an executor's row, which says for how long it remains slow.
     void set_cold(int executor, common::milliseconds left);
 
