A request that times out makes the idle connections to its address suspect

Change: at a time-out the idle connections to the same address are closed, so that the next request opens a new one. Measured: http_idle (1, 4 and 16 connections): with 4 and 16 it failed before, as 3 and 15 were left.

--- a/source/core/reactor/http_client.cpp
+++ b/source/core/reactor/http_client.cpp
@@ -60,6 +60,8 @@
     return response;
 }
 
+void close_idle_connections(http_client::state& of, const common::endpoint& to);
+
 // One connection. While it is idle, a wait for readability is pending, so that a close by the peer
 // is noticed at once.
 class connection : public std::enable_shared_from_this<connection> {
@@ -83,6 +85,7 @@
     void watch_idle();
     void finish(const common::result<http_response>& outcome);
     void fail(common::error error);
+    void on_timeout();
 
     const std::weak_ptr<http_client::state> m_owner;
     const common::endpoint m_address;
@@ -104,12 +107,12 @@
     m_request_number++;
     m_may_be_sent = false;
     m_timer.expires_after(timeout);
-    m_timer.async_wait([self = shared_from_this(),
-                        request_number = m_request_number](error_code ec) {
-        if (!ec && self->m_done && self->m_request_number == request_number) {
-            self->fail(self->m_may_be_sent ? common::error::timed_out : common::error::unreachable);
-        }
-    });
+    m_timer.async_wait(
+        [self = shared_from_this(), request_number = m_request_number](error_code ec) {
+            if (!ec && self->m_done && self->m_request_number == request_number) {
+                self->on_timeout();
+            }
+        });
     if (m_is_connected) {
         error_code ignored;
         m_socket.cancel(ignored); // ends the wait of watch_idle()
@@ -215,6 +218,15 @@
     finish(make_error_code(error));
 }
 
+void connection::on_timeout() {
+    // What made this connection go silent may have hit the idle ones too, and each would cost
+    // another time-out.
+    if (const auto owner = m_owner.lock()) {
+        close_idle_connections(*owner, m_address);
+    }
+    fail(m_may_be_sent ? common::error::timed_out : common::error::unreachable);
+}
+
 void connection::finish(const common::result<http_response>& outcome) {
     if (auto done = std::exchange(m_done, nullptr)) {
         done(outcome);
@@ -240,6 +252,18 @@
     }
 }
 
+void close_idle_connections(http_client::state& of, const common::endpoint& to) {
+    const auto it = of.idle.find(to);
+    if (it == of.idle.end()) {
+        return;
+    }
+    auto connections = std::move(it->second);
+    of.idle.erase(it);
+    for (const auto& connection : connections) {
+        connection->close();
+    }
+}
+
 } // namespace
 
 std::string describe(const common::result<http_response>& it) {
@@ -282,15 +306,7 @@
 }
 
 void http_client::close_idle(const common::endpoint& at) {
-    const auto it = m_state->idle.find(at);
-    if (it == m_state->idle.end()) {
-        return;
-    }
-    auto connections = std::move(it->second);
-    m_state->idle.erase(it);
-    for (const auto& connection : connections) {
-        connection->close();
-    }
+    close_idle_connections(*m_state, at);
 }
 
 } // namespace savorytrail::reactor
--- a/source/core/reactor/http_client.h
+++ b/source/core/reactor/http_client.h
@@ -1,7 +1,8 @@
 // An HTTP/1.1 client on the event loop. It pools keep-alive connections for each address and sends
 // one request at a time on each. Every request has its own time-out; a connection whose request
-// timed out is closed, since a late response would be taken for that of the next request. So is one
-// on which more arrives than the response. Interim responses (1xx) are skipped.
+// timed out is closed, since a late response would be taken for that of the next request, and so
+// are the idle ones to the same address, which may have gone silent with it. So is one on which
+// more arrives than the response. Interim responses (1xx) are skipped.
 #pragma once
 
 #include <functional>
--- a/source/unit_tests/reactor/http_test.cpp
+++ b/source/unit_tests/reactor/http_test.cpp
@@ -99,6 +99,36 @@
     EXPECT_TRUE(common::is_unsent(m_errors[0]));
 }
 
+class http_idle : public http, public testing::WithParamInterface<int> {};
+
+// Guards against a peer that is unreachable for one time-out after the other, as its open
+// connections went silent and each is tried in turn.
+TEST_P(http_idle, connections_are_closed_when_a_request_to_the_same_address_times_out) {
+    m_replies_at_once = false;
+    for (int i = 0; i < GetParam(); i++) {
+        send("x");
+    }
+    m_loop.after(milliseconds(50), [this] {
+        for (const auto& it : std::exchange(m_answers, {})) {
+            it->send({200, {}, ""});
+        }
+    });
+    m_loop.after(milliseconds(100), [this] {
+        EXPECT_EQ(m_server.connections(), static_cast<std::size_t>(GetParam()));
+        send("silent", milliseconds(50));
+    });
+    m_loop.after(milliseconds(200), [this] {
+        m_answers.clear();
+        EXPECT_EQ(m_server.connections(), 0U);
+        m_replies_at_once = true;
+        send("again");
+    });
+    run_for(milliseconds(250));
+    EXPECT_EQ(m_results.back(), "again");
+}
+
+INSTANTIATE_TEST_SUITE_P(numbers, http_idle, testing::Values(1, 4, 16));
+
 TEST_F(http, notifies_the_server_when_a_caller_disconnects) {
     m_replies_at_once = false;
     bool is_disconnected = false;
