--- a/source/unit_tests/platform_adapter/odd_rows_test.cpp
+++ b/source/unit_tests/platform_adapter/odd_rows_test.cpp
@@ -87,6 +87,13 @@
         odd_field{"port_beyond_every_type", "address", R"("10.0.0.9:99999999999999999999")"}),
     [](const auto& it) { return it.param.name; });
 
+// Guards against an executor that is not used, as its writer puts whole numbers in another way.
+TEST(executors, with_whole_numbers_written_as_fractions_are_used) {
+    const auto it = decode_executor("i", executor_with("capacity", R"({"cpu":16e3,"memMb":1.0})"));
+    ASSERT_TRUE(it);
+    EXPECT_EQ(it->capacity, (work::resources{16000, 1, 0}));
+}
+
 // Guards against a nested value of an entry's row that ends the process while it is copied.
 TEST(odd_entries, are_not_used_or_read_without_what_is_odd) {
     const std::string identity = R"({"name":"n","domain":"d","host":"10.0.0.1",)";
