A caller that has left is noticed behind requests that it sent ahead

Cause: the server stops reading while 16 requests wait behind the one in service, and only a pending read notices the end of a connection. The bound on what is read ahead is right and stays. Change: while reading is held back, the server looks for the end of the connection each 25 ms (POLLRDHUP, which unlike a read also tells it while earlier data are unread). The same check replaces the look before a request is served, which missed an end behind unread requests. A response that is being written to a client that has closed its sending side is written to its end; before, such a client got a part of it. A half-closed connection is otherwise still taken for one whose caller has left: it can't be told from a closed one behind a relay, and to run the job on would risk two runs of it.

--- a/source/core/reactor/http_server.cpp
+++ b/source/core/reactor/http_server.cpp
@@ -1,11 +1,10 @@
 #include "core/reactor/http_server.h"
 
-#include <sys/socket.h>
+#include <poll.h>
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
-#include <cerrno>
 #include <deque>
 #include <optional>
 
@@ -35,6 +34,8 @@
 constexpr common::milliseconds unacknowledged_timeout{4000};
 // Pipelined requests that are read ahead of the one in service.
 constexpr std::size_t max_pipelined = 16;
+// While no more of them are read, the end of the connection is looked for this often.
+constexpr common::milliseconds hangup_check_interval{25};
 
 using server_state = std::shared_ptr<http_server::state>;
 
@@ -53,7 +54,8 @@
 class session : public std::enable_shared_from_this<session> {
 public:
     session(server_state server, tcp::socket socket)
-        : m_server(std::move(server)), m_socket(std::move(socket)) {
+        : m_server(std::move(server)), m_socket(std::move(socket)),
+          m_hangup_check(m_socket.get_executor()) {
         m_server->connections++;
     }
     ~session() { m_server->connections--; }
@@ -68,6 +70,10 @@
     void on_read(error_code ec);
     void on_written(error_code ec, bool close_after_write);
     void serve_next();
+    bool may_read_ahead() const { return m_pipelined.size() < max_pipelined; }
+    // Looks for the end of the connection until the next request may be read, as no read that is
+    // pending would notice it.
+    void watch_for_hangup();
     // The connection has ended, although requests that came before may be left to read.
     bool has_client_left();
     void reject_oversized(error_code ec);
@@ -75,6 +81,7 @@
 
     const server_state m_server;
     tcp::socket m_socket;
+    boost::asio::steady_timer m_hangup_check;
     boost::beast::flat_buffer m_buffer;
     std::optional<http::request_parser<http::string_body>> m_parser;
     http::response<http::string_body> m_response;
@@ -84,7 +91,9 @@
     bool m_is_answered = false; // the request in service has been responded to
     bool m_is_open = true;
     bool m_is_reading = false;
+    bool m_is_watching_for_hangup = false;
     bool m_keep_alive = true;
+    bool m_closes_when_written = false; // the response that is being written is the last
     std::function<void()> m_on_disconnect;
 };
 
@@ -104,7 +113,11 @@
 };
 
 void session::read() {
-    if (m_is_reading || !m_is_open || m_pipelined.size() >= max_pipelined) {
+    if (m_is_reading || !m_is_open) {
+        return;
+    }
+    if (!may_read_ahead()) {
+        watch_for_hangup();
         return;
     }
     m_is_reading = true;
@@ -122,6 +135,10 @@
         reject_oversized(ec);
         return;
     }
+    if (ec == http::error::end_of_stream && m_is_busy && m_is_answered) {
+        m_closes_when_written = true; // the client may have closed its side only
+        return;
+    }
     if (ec) {
         close();
         return;
@@ -152,10 +169,26 @@
                       });
 }
 
+void session::watch_for_hangup() {
+    if (m_is_watching_for_hangup) {
+        return;
+    }
+    m_is_watching_for_hangup = true;
+    m_hangup_check.expires_after(hangup_check_interval);
+    m_hangup_check.async_wait([self = shared_from_this()](error_code) {
+        self->m_is_watching_for_hangup = false;
+        if (self->m_is_open && self->has_client_left()) {
+            self->close();
+        } else if (!self->may_read_ahead()) {
+            self->read();
+        }
+    });
+}
+
 bool session::has_client_left() {
-    char next = 0;
-    const auto n = ::recv(m_socket.native_handle(), &next, 1, MSG_PEEK | MSG_DONTWAIT);
-    return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+    // Unlike a read, this tells the end of the stream while data that came before it are unread.
+    pollfd it{m_socket.native_handle(), POLLRDHUP, 0};
+    return ::poll(&it, 1, 0) > 0 && (it.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
 }
 
 void session::serve_next() {
@@ -199,7 +232,7 @@
 
 void session::on_written(error_code ec, bool close_after_write) {
     m_is_busy = false;
-    if (ec) {
+    if (ec || m_closes_when_written) {
         close();
         return;
     }
@@ -230,6 +263,7 @@
         return;
     }
     m_is_open = false;
+    m_hangup_check.cancel();
     error_code ignored;
     m_socket.close(ignored);
     if (auto callback = std::exchange(m_on_disconnect, nullptr)) {
--- a/source/unit_tests/reactor/http_test.cpp
+++ b/source/unit_tests/reactor/http_test.cpp
@@ -142,23 +142,96 @@
     EXPECT_TRUE(m_results.empty());
 }
 
+enum class ending { close, reset };
+
+// Ends a caller's connection.
+void end_connection(int caller, ending how) {
+    if (how == ending::reset) {
+        const linger at_once{1, 0};
+        ::setsockopt(caller, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+    }
+    ::close(caller);
+}
+
+struct read_ahead_case {
+    int requests_ahead;
+    ending how;
+};
+
+class requests_ahead : public http, public testing::WithParamInterface<read_ahead_case> {};
+
 // A caller that had sent many requests ahead was not noticed to have left until its first one was
-// answered, as the server had stopped reading.
-TEST_F(http, notifies_the_server_when_a_caller_disconnects_that_sent_requests_ahead) {
+// answered, as the server had stopped reading: a job ran on for it, beside the one that it sent
+// again elsewhere.
+TEST_P(requests_ahead, do_not_hide_that_their_caller_has_left) {
     m_replies_at_once = false;
     bool is_disconnected = false;
-    const int caller = connect_and_send(20);
+    const int caller = connect_and_send(1 + GetParam().requests_ahead);
     m_loop.after(milliseconds(50), [&] {
         m_answers.at(0)->on_disconnect([&] { is_disconnected = true; });
-        ::close(caller);
+        end_connection(caller, GetParam().how);
     });
-    run_for(milliseconds(1000));
+    run_for(milliseconds(150));
     EXPECT_TRUE(is_disconnected);
+    EXPECT_EQ(m_requests.size(), 1U);
+}
+
+// The bound on what is read ahead must not cost a caller that stays any answer.
+TEST_P(requests_ahead, are_all_answered_to_a_caller_that_stays) {
+    m_replies_at_once = false;
+    const auto requests = 1 + static_cast<std::size_t>(GetParam().requests_ahead);
+    const int caller = connect_and_send(1 + GetParam().requests_ahead);
+    m_loop.after(milliseconds(100), [&] {
+        EXPECT_EQ(m_requests.size(), 1U);
+        m_replies_at_once = true;
+        m_answers.at(0)->send({200, {}, ""});
+    });
+    run_for(milliseconds(400));
+    EXPECT_EQ(m_requests.size(), requests);
+    end_connection(caller, GetParam().how);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    numbers, requests_ahead,
+    testing::Values(read_ahead_case{0, ending::close}, read_ahead_case{15, ending::close},
+                    read_ahead_case{16, ending::close}, read_ahead_case{200, ending::close},
+                    read_ahead_case{0, ending::reset}, read_ahead_case{15, ending::reset},
+                    read_ahead_case{16, ending::reset}, read_ahead_case{200, ending::reset}),
+    [](const auto& it) {
+        const auto* const how = it.param.how == ending::close ? "closed" : "reset";
+        return std::to_string(it.param.requests_ahead) + "_" + how;
+    });
+
+// A caller that closed its sending side while a long response was being written got a part of it.
+TEST_F(http, completes_a_response_that_is_being_written_to_a_half_closed_connection) {
+    constexpr std::size_t body_size = 16'000'000; // more than the kernel's buffers take
+    m_replies_at_once = false;
+    const int caller = connect_and_send(1);
+    std::size_t received = 0;
+    std::thread reader;
+    m_loop.after(milliseconds(50), [&] {
+        m_answers.at(0)->send({200, {}, std::string(body_size, 'x')});
+        ::shutdown(caller, SHUT_WR);
+    });
+    m_loop.after(milliseconds(100), [&] {
+        reader = std::thread([&] {
+            std::vector<char> buf(65536);
+            ssize_t n = 0;
+            while ((n = ::recv(caller, buf.data(), buf.size(), 0)) > 0) {
+                received += static_cast<std::size_t>(n);
+            }
+        });
+    });
+    run_for(milliseconds(1000));
+    ::shutdown(caller, SHUT_RDWR); // ends recv() in any case
+    reader.join();
+    ::close(caller);
+    EXPECT_GT(received, body_size);
 }
 
 struct leaving_case {
     const char* name;
-    bool resets;
+    ending how;
 };
 
 class a_caller_that_has_left : public http, public testing::WithParamInterface<leaving_case> {};
@@ -166,18 +239,14 @@
 // A request was started although its caller had left, and had sent it again to another entry.
 TEST_P(a_caller_that_has_left, is_not_served) {
     const int caller = connect_and_send(1);
-    if (GetParam().resets) {
-        const linger at_once{1, 0};
-        ::setsockopt(caller, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
-    }
-    ::close(caller);
+    end_connection(caller, GetParam().how);
     run_for(milliseconds(50));
     EXPECT_TRUE(m_requests.empty());
 }
 
 INSTANTIATE_TEST_SUITE_P(all, a_caller_that_has_left,
-                         testing::Values(leaving_case{"closed", false},
-                                         leaving_case{"reset", true}),
+                         testing::Values(leaving_case{"closed", ending::close},
+                                         leaving_case{"reset", ending::reset}),
                          [](const auto& it) { return std::string(it.param.name); });
 
 TEST_F(http, matches_delayed_responses_to_requests) {
