Executors are kept for the jobs that have begun when they are released

Order of events: two entries start together and both claim the executors; the one that does not dispatch takes a job and starts it; it then hears the other entry, and releases its executors as soon as their runs have ended; the run fails; what is left of the job waits in a cell without executors, which may not return it, as it may have run. Cause: releasing looked at runs only. A job that has begun is bound to its cell, but its later runs were not counted: each change of dispatcher stranded every job with a step, a retry or a wave of tasks still to come. The fences by the wall clock and the early claims, which were suspected, only make it more frequent at a start. Change: an executor that is to be released is kept while begun jobs need it for tasks that have yet to start, for at most 1.5 s; no new job gets it, and it counts neither as capacity nor as room. As few are kept as have room for these tasks (cell/retained_executors); the others are released at once.

--- a/source/core/cell/dispatcher.h
+++ b/source/core/cell/dispatcher.h
@@ -116,6 +116,7 @@
                          common::milliseconds took) override;
     void on_resources_freed() override;
     common::time_point may_run_until(const work::run_key& run) const override;
+    std::set<std::string> executors_for_begun_jobs() const override;
 
 private:
     using job_list = std::list<job_record>;
--- a/source/core/cell/dispatcher_returns.cpp
+++ b/source/core/cell/dispatcher_returns.cpp
@@ -4,6 +4,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "core/cell/dispatcher.h"
+#include "core/cell/retained_executors.h"
 #include "core/cell/start_forecast.h"
 
 namespace savorytrail::cell {
@@ -56,6 +57,10 @@
     }
 }
 
+std::set<std::string> dispatcher::executors_for_begun_jobs() const {
+    return cell::executors_for_begun_jobs(m_jobs, m_executor_manager.executors());
+}
+
 bool dispatcher::would_be_late(const job_record& candidate) const {
     const auto now = m_clock.now();
     const auto candidate_rank = rank_of(candidate, now);
--- a/source/core/cell/executor_manager.cpp
+++ b/source/core/cell/executor_manager.cpp
@@ -52,12 +52,14 @@
         }
         slot->info = info;
         slot->is_retiring = false;
+        slot->is_kept_for_begun_jobs = false;
         apply_drains(*slot);
         slot->is_adopted = adopted.contains(info.id);
     }
     for (auto& [id, record] : m_executors) {
-        if (!assigned.contains(id)) {
+        if (!assigned.contains(id) && !record->is_retiring) {
             record->is_retiring = true;
+            record->retiring_since = m_clock.now();
         }
     }
     m_listener->on_resources_freed();
@@ -446,24 +448,52 @@
         on_wake_up();
     }
     m_stalls.tick();
-    std::vector<std::string> released;
     for (auto& [id, record] : m_executors) {
         check_executor(*record);
-        if (record->is_retiring && record->runs.empty()) {
+    }
+    release_retiring();
+    m_listener->on_resources_freed();
+}
+
+void executor_manager::release_retiring() {
+    const bool has_retiring = std::any_of(m_executors.begin(), m_executors.end(),
+                                          [](const auto& it) { return it.second->is_retiring; });
+    if (!has_retiring) {
+        return;
+    }
+    const auto needed = m_listener->executors_for_begun_jobs();
+    std::vector<std::string> released;
+    for (auto& [id, record] : m_executors) {
+        if (record->is_retiring && !keep_for_begun_jobs(*record, needed.contains(id)) &&
+            record->runs.empty()) {
             released.push_back(id);
         }
     }
     for (const auto& id : released) {
-        auto& record = *m_executors.at(id);
-        m_observer.executor_changed(id, "executor_let_go", "assigned to another entry or removed");
-        if (record.state == claim_state::held) {
-            request_report(record, milliseconds(0)); // acknowledges the last ended runs
-        }
-        m_orders.forget(record.info);
-        m_executors.erase(id);
-        m_claims_version++;
+        release(id);
     }
-    m_listener->on_resources_freed();
+}
+
+bool executor_manager::keep_for_begun_jobs(executor_record& it, bool is_needed) {
+    const bool is_kept = is_needed && m_clock.now() - it.retiring_since < m_limits.release_grace;
+    if (is_kept && !it.is_kept_for_begun_jobs) {
+        m_observer.executor_changed(it.info.id, "executor_release_delayed",
+                                    "jobs that have begun here need it");
+    }
+    it.is_kept_for_begun_jobs = is_kept;
+    return is_kept;
+}
+
+void executor_manager::release(const std::string& executor) {
+    auto& record = *m_executors.at(executor);
+    m_observer.executor_changed(executor, "executor_let_go",
+                                "assigned to another entry or removed");
+    if (record.state == claim_state::held) {
+        request_report(record, milliseconds(0)); // acknowledges the last ended runs
+    }
+    m_orders.forget(record.info);
+    m_executors.erase(executor);
+    m_claims_version++;
 }
 
 } // namespace savorytrail::cell
--- a/source/core/cell/executor_manager.h
+++ b/source/core/cell/executor_manager.h
@@ -47,6 +47,8 @@
     virtual void on_resources_freed() = 0;
     // Until when a run that was not told to stop may go on, as far as is known now.
     virtual common::time_point may_run_until(const work::run_key& run) const = 0;
+    // The ids of retiring executors that jobs which have begun still need.
+    virtual std::set<std::string> executors_for_begun_jobs() const = 0;
 
 protected:
     run_listener() = default;
@@ -100,7 +102,8 @@
     std::size_t drained_runs() const;
 
     // Sets the executors that this entry is to hold; `adopted` are those among them that their
-    // holders are assumed to have abandoned. Other executors are released when their runs end.
+    // holders are assumed to have abandoned. Other executors are released when their runs have
+    // ended and no job that has begun needs them.
     void assign(const std::vector<work::executor_info>& executors,
                 const std::set<std::string>& adopted = {});
     // The executors whose claim has succeeded; another entry must not claim them yet.
@@ -173,6 +176,10 @@
     void on_report_failure(executor_record& it, work::order_status status);
     void check_executor(executor_record& it);
     void check_runs(executor_record& it);
+    void release_retiring();
+    void release(const std::string& executor);
+    // Returns whether it is kept a while longer.
+    bool keep_for_begun_jobs(executor_record& it, bool is_needed);
     bool was_suspended() const;
     void on_wake_up();
     // The end of the lease that may be granted now, on the executor's clock.
--- a/source/core/cell/executor_record.h
+++ b/source/core/cell/executor_record.h
@@ -83,8 +83,10 @@
     executor_health health;
     common::milliseconds min_lease_of_start; // nothing starts on a lease that must end sooner
     claim_state state = claim_state::claiming;
-    bool is_retiring = false; // gets no new runs; released when its runs have ended
-    bool is_drained = false;  // as is its failure domain: takes no job that has not begun
+    bool is_retiring = false; // takes no job that has not begun; released when it is not needed
+    common::time_point retiring_since;   // valid if `is_retiring`
+    bool is_kept_for_begun_jobs = false; // though it is retiring
+    bool is_drained = false; // as is its failure domain: takes no job that has not begun
     common::time_point drain_grace_until; // until when jobs that have begun may start tasks there
     common::time_point cold_until;        // until when it is slow after a start
     bool is_adopted = false; // claimed on the assumption that its holder has abandoned it
@@ -152,7 +154,7 @@
         if (state != claim_state::held) {
             return work_obstacle::not_claimed;
         }
-        if (is_retiring || info.is_draining) {
+        if ((is_retiring && !is_kept_for_begun_jobs) || info.is_draining) {
             return work_obstacle::retiring;
         }
         if (is_unresponsive() || !clock.is_known()) {
--- a/source/core/cell/free_room.cpp
+++ b/source/core/cell/free_room.cpp
@@ -33,7 +33,8 @@
 free_room::free_room(const executor_map& executors, common::time_point now) {
     for (const auto& [id, it] : executors) {
         const bool is_cold = it->is_cold(now);
-        if (it->accepts_work(now) && !it->is_drained && !(is_cold && !it->runs.empty())) {
+        const bool is_open = it->accepts_work(now) && !it->is_retiring && !it->is_drained;
+        if (is_open && !(is_cold && !it->runs.empty())) {
             // On probation, and while cold, an executor runs one task at a time.
             const bool takes_one = is_cold || it->health.is_on_probation();
             const int max_starts = takes_one ? 1 : std::numeric_limits<int>::max();
--- a/source/core/cell/limits.h
+++ b/source/core/cell/limits.h
@@ -36,6 +36,8 @@
     common::milliseconds order_timeout{150};
     // Interval of report requests to an unresponsive executor.
     common::milliseconds unresponsive_retry{400};
+    // How long an executor that is to be released is kept for jobs that have begun in the cell.
+    common::milliseconds release_grace{1500};
     // A run counts as stuck after this multiple of its estimate plus the grace time.
     double stuck_factor = 4;
     common::milliseconds stuck_grace{250};
--- a/source/core/cell/placement.cpp
+++ b/source/core/cell/placement.cpp
@@ -33,6 +33,9 @@
     if (!is_eligible(step, *request.upstream, it.info)) {
         return it.info.upstream == *request.upstream ? "label" : "other_upstream";
     }
+    if (it.is_retiring && !request.is_of_begun_job) {
+        return "retiring";
+    }
     if (it.is_drained &&
         !(it.is_in_drain_grace(now) && request.has_begun_in(it.info.failure_domain))) {
         return "drained";
--- a/source/core/cell/placement.h
+++ b/source/core/cell/placement.h
@@ -29,6 +29,7 @@
     const std::string* upstream = nullptr;
     const std::string* avoid = nullptr; // chosen only if no other executor fits
     bool is_isolated = false;           // only an executor without runs will do
+    bool is_of_begun_job = false;       // a retiring executor will do too
     const packing* values = nullptr;    // of free capacity
     std::function<int(const std::string& executor)>
         tasks_on_executor; // active tasks of the step there, for its max_per_executor
--- /dev/null
+++ b/source/core/cell/retained_executors.cpp
@@ -0,0 +1,70 @@
+#include "core/cell/retained_executors.h"
+
+#include <algorithm>
+#include <vector>
+
+#include "core/cell/placement.h"
+
+namespace savorytrail::cell {
+namespace {
+
+struct retiring_executor {
+    const work::executor_info* info = nullptr;
+    bool has_runs = false;
+    work::resources room; // without its runs, which end before it is released
+};
+
+std::vector<retiring_executor> retiring_among(const executor_map& executors) {
+    std::vector<retiring_executor> list;
+    for (const auto& [id, it] : executors) {
+        if (it->is_retiring && it->state == claim_state::held) {
+            list.push_back({&it->info, !it->runs.empty(), it->info.capacity});
+        }
+    }
+    std::stable_partition(list.begin(), list.end(),
+                          [](const retiring_executor& it) { return it.has_runs; });
+    return list;
+}
+
+bool can_run(const work::step& step, const work::job& job, const work::executor_info& at) {
+    return is_eligible(step, job.queue.upstream, at) && at.capacity.covers(step.task_resources);
+}
+
+bool can_run_on_kept(const work::step& step, const work::job& job, const executor_map& executors) {
+    return std::any_of(executors.begin(), executors.end(), [&](const auto& it) {
+        return it.second->is_kept() && can_run(step, job, it.second->info);
+    });
+}
+
+} // namespace
+
+std::set<std::string> executors_for_begun_jobs(const std::list<job_record>& jobs,
+                                               const executor_map& executors) {
+    auto retiring = retiring_among(executors);
+    std::set<std::string> needed;
+    for (const auto& job : jobs) {
+        if (!job.may_have_run()) {
+            continue;
+        }
+        for (const auto& task : job.tasks()) {
+            const bool is_to_start =
+                task.state == task_state::waiting || task.state == task_state::blocked;
+            const auto& step = job.step_of(task);
+            if (!is_to_start || can_run_on_kept(step, job.job(), executors)) {
+                continue;
+            }
+            const auto found =
+                std::find_if(retiring.begin(), retiring.end(), [&](const retiring_executor& it) {
+                    return it.room.covers(step.task_resources) &&
+                           can_run(step, job.job(), *it.info);
+                });
+            if (found != retiring.end()) {
+                found->room -= step.task_resources;
+                needed.insert(found->info->id);
+            }
+        }
+    }
+    return needed;
+}
+
+} // namespace savorytrail::cell
--- a/source/core/cell/task_starter.cpp
+++ b/source/core/cell/task_starter.cpp
@@ -55,6 +55,7 @@
     request.step = &job.step_of(task);
     request.upstream = &job.job().queue.upstream;
     request.avoid = &task.avoid;
+    request.is_of_begun_job = job.may_have_run();
     request.has_begun_in = [this, &job](const std::string& domain) {
         return has_begun_in(job, domain);
     };
