Nothing starts on an executor whose row tells of another process

Cause: what an executor is was kept by its id alone; a restart was recognised by the process that answers, while labels and capacity stayed those of the former one. Change: while the start time in the list and that of the process that answers differ, the executor takes nothing and counts neither as capacity nor as room (work_obstacle::other_process, also in `savoryctl explain-placement`). Rows and reports without a start time say nothing and change nothing. Looked at what else is kept by an executor's id: leases and clocks are reset with the process; learnt speeds begin anew when label or capacity change; crash evidence is kept by process; suspected pairs are kept by kinds of tasks; connections by address. The emulated platform writes the row of a restarted executor anew, as its executors register.

--- a/source/core/cell/cell_load.cpp
+++ b/source/core/cell/cell_load.cpp
@@ -8,7 +8,8 @@
 
 bool counts_as_capacity(const executor_record& it, common::time_point now) {
     return it.state == claim_state::held && !it.is_retiring && !it.info.is_draining &&
-           !it.is_drained && !it.is_unresponsive() && !it.health.is_quarantined(now);
+           !it.is_drained && !it.is_unresponsive() && !it.is_listed_as_other_process() &&
+           !it.health.is_quarantined(now);
 }
 
 std::int64_t as_work(std::int64_t cpu_millis, double speed) {
--- a/source/core/cell/executor_record.h
+++ b/source/core/cell/executor_record.h
@@ -62,8 +62,9 @@
 enum class work_obstacle : std::uint8_t {
     none,
     not_claimed,
-    retiring,     // released by this entry, or its platform removes it
-    unresponsive, // reports are missing, or none has arrived yet
+    retiring,      // released by this entry, or its platform removes it
+    unresponsive,  // reports are missing, or none has arrived yet
+    other_process, // listed as another process than the one that answers
     rejected_start,
     foreign_runs, // runs of other holders
     quarantined,
@@ -126,6 +127,11 @@
     }
     // While reports are missing, no lease is renewed and nothing is started.
     bool is_unresponsive() const { return missed_reports > 0; }
+    // The list tells of another process than the one that answers, which may have other labels and
+    // another capacity.
+    bool is_listed_as_other_process() const {
+        return info.start_time_ms != 0 && start_time_ms != 0 && info.start_time_ms != start_time_ms;
+    }
     bool has_overdue_run(common::time_point now) const {
         for (const auto& [key, run] : runs) {
             if (run.state == run_state::running && now - run.started_at > run.time_limit) {
@@ -160,6 +166,9 @@
         if (is_unresponsive() || !clock.is_known()) {
             return work_obstacle::unresponsive;
         }
+        if (is_listed_as_other_process()) {
+            return work_obstacle::other_process;
+        }
         if (now < resources_exhausted_until) {
             return work_obstacle::rejected_start;
         }
--- a/source/core/cell/placement.cpp
+++ b/source/core/cell/placement.cpp
@@ -117,6 +117,8 @@
         return "retiring";
     case work_obstacle::unresponsive:
         return "unresponsive";
+    case work_obstacle::other_process:
+        return "other_process";
     case work_obstacle::rejected_start:
         return "rejected_start";
     case work_obstacle::foreign_runs:
--- a/source/stand_ins/users_platform/emulator.cpp
+++ b/source/stand_ins/users_platform/emulator.cpp
@@ -62,7 +62,8 @@
     cell::simulated_executor simulated;
     std::unique_ptr<reactor::http_server> server;
     stop_fault on_stop = stop_fault::none;
-    std::size_t crashes_counted = 0; // of those by tasks
+    std::size_t crashes_counted = 0;      // of those by tasks
+    std::int64_t registered_start_ms = 0; // of the process that its row tells of
 };
 
 emulator::emulator(options its_options) : m_options(std::move(its_options)) {}
@@ -108,6 +109,10 @@
     for (const auto& it : m_executors) {
         it->simulated.advance(now());
         m_crash_budget.count_crashes(it->simulated, it->crashes_counted);
+        const bool is_new = it->registered_start_ms != it->simulated.info().start_time_ms;
+        if (is_new && !it->simulated.is_down()) {
+            register_executor(*it);
+        }
     }
     note_overlaps();
     note_interfering_runs();
@@ -294,8 +299,9 @@
     return n;
 }
 
-void emulator::register_executor(const executor_host& host) {
+void emulator::register_executor(executor_host& host) {
     const auto& info = host.simulated.info();
+    host.registered_start_ms = info.start_time_ms;
     put(names::executor_table, info.id, codec::encode_executor(info));
 }
 
--- a/source/stand_ins/users_platform/emulator.h
+++ b/source/stand_ins/users_platform/emulator.h
@@ -147,7 +147,7 @@
     void serve_executor(executor_host& host, const reactor::http_request& request,
                         const answer& to);
     void wait_for_end(executor_host& host, common::time_point until, const answer& to);
-    void register_executor(const executor_host& host);
+    void register_executor(executor_host& host);
     void stop_run(executor_host& host, const reactor::http_request& request, const answer& to);
     void advance();
     void note_overlaps();
--- a/source/stand_ins/users_platform/simulated_executor.h
+++ b/source/stand_ins/users_platform/simulated_executor.h
@@ -45,7 +45,8 @@
     work::order_reply stop(const stop_order& order);
     std::pair<work::order_status, work::run_report> report(const report_request& request);
 
-    // Ends the process, with all state lost; another one answers after `down_time`.
+    // Ends the process, with all state lost; another one answers after `down_time`. If its start is
+    // listed, it will be listed with its own.
     void crash(common::time_point now);
     // Whether connections are refused: no process answers, or the network cuts it off so.
     bool is_down() const { return m_now < m_down_until || is_cut_off; }
@@ -53,6 +54,7 @@
     const std::vector<work::task_id>& crashed_by() const { return m_crashed_by; }
     // What it offers from now on; runs that no longer fit go on.
     void set_capacity(const work::resources& it);
+    void set_labels(std::vector<std::string> labels) { m_info.labels = std::move(labels); }
 
     const work::executor_info& info() const { return m_info; }
     const std::map<work::task_id, run>& running() const { return m_running; }
