A DELETE of a running job is carried out, wherever in the fleet the job is

Cause: the entry answered each DELETE without looking for the job, as jobs are not stored; but one that runs is known to the entry of its caller and to its dispatcher. The caller who still waits gets 200 with state cancelled.

--- a/source/core/gateway/forwarding_codec.cpp
+++ b/source/core/gateway/forwarding_codec.cpp
@@ -117,7 +117,7 @@
 std::optional<work::outcome> decode_outcome(const std::string& bytes) {
     schema::passed_outcome message;
     if (!message.ParseFromString(bytes) || message.end() < 0 ||
-        message.end() > static_cast<std::int32_t>(work::job_end::given_up)) {
+        message.end() > static_cast<std::int32_t>(work::job_end::cancelled)) {
         return std::nullopt;
     }
     return work::outcome{
@@ -142,4 +142,33 @@
     return abandoned_job{message.id(), message.from(), message.number()};
 }
 
+std::string encode(const cancelled_job& it) {
+    schema::cancelled_job message;
+    message.set_id(it.id);
+    message.set_queue(it.queue);
+    return message.SerializeAsString();
+}
+
+std::optional<cancelled_job> decode_cancelled(const std::string& bytes) {
+    schema::cancelled_job message;
+    if (!message.ParseFromString(bytes) || message.id().empty()) {
+        return std::nullopt;
+    }
+    return cancelled_job{message.id(), message.queue()};
+}
+
+std::string encode_cancel_answer(bool was_open) {
+    schema::cancel_answer message;
+    message.set_was_open(was_open);
+    return message.SerializeAsString();
+}
+
+std::optional<bool> decode_cancel_answer(const std::string& bytes) {
+    schema::cancel_answer message;
+    if (!message.ParseFromString(bytes)) {
+        return std::nullopt;
+    }
+    return message.was_open();
+}
+
 } // namespace savorytrail::gateway
--- a/source/core/gateway/forwarding_codec.h
+++ b/source/core/gateway/forwarding_codec.h
@@ -30,11 +30,24 @@
     bool operator==(const abandoned_job&) const = default;
 };
 
+// A request to end a job for good, whoever waits for it.
+struct cancelled_job {
+    std::string id;
+    std::string queue; // a job of that id in another queue is not meant
+
+    bool operator==(const cancelled_job&) const = default;
+};
+
 std::string encode(const passed_job& it);
 std::optional<passed_job> decode_job(const std::string& bytes);
 std::string encode(const work::outcome& it);
 std::optional<work::outcome> decode_outcome(const std::string& bytes);
 std::string encode(const abandoned_job& it);
 std::optional<abandoned_job> decode_abandoned(const std::string& bytes);
+std::string encode(const cancelled_job& it);
+std::optional<cancelled_job> decode_cancelled(const std::string& bytes);
+// Whether the job was open at the entry that answers.
+std::string encode_cancel_answer(bool was_open);
+std::optional<bool> decode_cancel_answer(const std::string& bytes);
 
 } // namespace savorytrail::gateway
--- a/source/core/gateway/forwarding_http.cpp
+++ b/source/core/gateway/forwarding_http.cpp
@@ -9,6 +9,8 @@
 constexpr common::milliseconds outcome_slack{200};
 constexpr common::milliseconds abandon_timeout{300};
 
+} // namespace
+
 reactor::http_request post(const char* path, std::string body) {
     reactor::http_request request;
     request.method = "POST";
@@ -18,8 +20,6 @@
     return request;
 }
 
-} // namespace
-
 forwarding_client::canceller http_forwarding_client::forward(const common::endpoint& to,
                                                              const passed_job& it, callback done) {
     return m_client.send(
--- a/source/core/gateway/forwarding_http.h
+++ b/source/core/gateway/forwarding_http.h
@@ -10,8 +10,12 @@
 // Paths of the requests between entries, and the type of their bodies.
 constexpr const char* job_path = "/jobs";
 constexpr const char* abandon_path = "/abandoned";
+constexpr const char* cancel_path = "/cancelled";
 constexpr const char* protobuf_type = "application/x-protobuf";
 
+// A request to another entry; `body` is an encoded message.
+reactor::http_request post(const char* path, std::string body);
+
 class http_forwarding_client final : public forwarding_client {
 public:
     explicit http_forwarding_client(reactor::http_client& client) : m_client(client) {}
--- a/source/core/gateway/forwarding_service.cpp
+++ b/source/core/gateway/forwarding_service.cpp
@@ -10,10 +10,6 @@
     return {200, {}, encode(it), protobuf_type};
 }
 
-reactor::http_response given_up_response(std::string_view reason) {
-    return outcome_response({work::job_end::given_up, std::string(reason), {}});
-}
-
 } // namespace
 
 bool forwarding_service::handle(const reactor::http_request& request,
@@ -40,6 +36,13 @@
     return true;
 }
 
+bool forwarding_service::cancel(const cancelled_job& it) {
+    const auto dropped = drop_if(
+        [&](const received_job& open) { return open.job == it.id && open.queue == it.queue; },
+        "cancelled", work::job_end::cancelled);
+    return dropped > 0;
+}
+
 void forwarding_service::accept(const reactor::http_request& request,
                                 const std::shared_ptr<reactor::responder>& answer) {
     auto passed = decode_job(request.body);
@@ -52,7 +55,7 @@
     m_observer.job_event(passed->job.id, "job_received",
                          forward.entry + ": " + describe_holder(*passed));
     m_view.note_in_use(forward.entry, m_clock.now());
-    m_open[number] = {forward, passed->job.id, 0, answer};
+    m_open[number] = {forward, passed->job.id, passed->job.queue.name, 0, answer};
     const auto ticket = submit(*passed, [this, number, answer](const work::outcome& it) {
         close(number);
         answer->send(outcome_response(it));
@@ -104,7 +107,7 @@
     return describe_heartbeat(it.from) + ", lease " + std::to_string(ms) + " ms";
 }
 
-void forwarding_service::drop(std::uint64_t number, std::string_view reason) {
+void forwarding_service::drop(std::uint64_t number, std::string_view reason, work::job_end end) {
     const auto it = m_open.find(number);
     if (it == m_open.end()) {
         return;
@@ -116,7 +119,7 @@
                              describe_heartbeat(dropped.forward.entry));
     m_own.abandon(dropped.ticket);
     // The connection may be open still, unless its end is the reason.
-    dropped.answer->send(given_up_response(reason));
+    dropped.answer->send(outcome_response({end, std::string(reason), {}}));
 }
 
 void forwarding_service::request_leases() {
@@ -156,8 +159,8 @@
         "entry lost");
 }
 
-void forwarding_service::drop_if(const std::function<bool(const received_job&)>& matches,
-                                 std::string_view reason) {
+std::size_t forwarding_service::drop_if(const std::function<bool(const received_job&)>& matches,
+                                        std::string_view reason, work::job_end end) {
     std::vector<std::uint64_t> numbers;
     for (const auto& [number, it] : m_open) {
         if (matches(it)) {
@@ -165,8 +168,9 @@
         }
     }
     for (const auto number : numbers) {
-        drop(number, reason);
+        drop(number, reason, end);
     }
+    return numbers.size();
 }
 
 } // namespace savorytrail::gateway
--- a/source/core/gateway/forwarding_service.h
+++ b/source/core/gateway/forwarding_service.h
@@ -31,6 +31,9 @@
     // Returns false when the request is not for this service.
     bool handle(const reactor::http_request& request,
                 const std::shared_ptr<reactor::responder>& answer);
+    // Ends the job for good, and answers the entries that passed it on so. Returns whether there
+    // was such a job here.
+    bool cancel(const cancelled_job& it);
     void receive(const lease_answer& it);
     // To be called about every 50 ms: keeps the links to the entries whose jobs are here, and
     // renews the leases of these jobs.
@@ -42,6 +45,7 @@
     struct received_job {
         forward_id forward; // number 0: of an entry that grants no leases
         std::string job;
+        std::string queue;
         std::uint64_t ticket = 0;
         std::shared_ptr<reactor::responder> answer;
     };
@@ -53,9 +57,12 @@
     // The number in m_open of a forward whose job is here.
     std::optional<std::uint64_t> find(const forward_id& it) const;
     void close(std::uint64_t number);
-    // `reason`: for the log.
-    void drop(std::uint64_t number, std::string_view reason);
-    void drop_if(const std::function<bool(const received_job&)>& matches, std::string_view reason);
+    // `reason`: for the log. `end`: what the entry that passed the job on is told, if it listens.
+    void drop(std::uint64_t number, std::string_view reason,
+              work::job_end end = work::job_end::given_up);
+    // Returns how many were dropped.
+    std::size_t drop_if(const std::function<bool(const received_job&)>& matches,
+                        std::string_view reason, work::job_end end = work::job_end::given_up);
     // For the log: what is known of the entry that holds a job's caller.
     std::string describe_heartbeat(const std::string& entry) const;
     std::string describe_holder(const passed_job& it) const;
--- a/source/core/gateway/gateway.cpp
+++ b/source/core/gateway/gateway.cpp
@@ -455,10 +455,30 @@
     if (it == m_open.end()) {
         return;
     }
-    auto open = std::move(it->second);
+    note_caller_left(it->second);
+    withdraw(ticket);
+}
+
+bool gateway::cancel(const cancelled_job& it) {
+    std::vector<std::uint64_t> tickets;
+    for (const auto& [ticket, open] : m_open) {
+        if (open.job.id == it.id && open.job.queue.name == it.queue) {
+            tickets.push_back(ticket);
+        }
+    }
+    for (const auto ticket : tickets) {
+        const auto done = m_open.at(ticket).done;
+        withdraw(ticket);
+        done({work::job_end::cancelled, "", {}});
+    }
+    return !tickets.empty();
+}
+
+void gateway::withdraw(std::uint64_t ticket) {
+    const auto it = m_open.find(ticket);
+    const auto open = std::move(it->second);
     m_open.erase(it);
     m_forwards.erase(open.forward_number);
-    note_caller_left(open);
     if (open.target == m_view.self().name) {
         m_own.abandon(open.own_ticket);
         return;
--- a/source/core/gateway/gateway.h
+++ b/source/core/gateway/gateway.h
@@ -67,6 +67,9 @@
     // `done` is called once, possibly before this returns, unless the ticket is abandoned.
     std::uint64_t submit(work::job job, cell::done_callback done);
     void abandon(std::uint64_t ticket);
+    // Ends the job for good and answers its caller so. Its dispatcher is told, and gets no further
+    // lease for it. Returns whether there was such a job here.
+    bool cancel(const cancelled_job& it);
     // What submit() would do with the job, without changing anything.
     gateway_explanation explain(work::job job) const;
 
@@ -143,6 +146,8 @@
     void on_forwarding_failed(std::uint64_t ticket, std::error_code ec);
     void finish(std::uint64_t ticket, const work::outcome& outcome);
     void note_caller_left(const open_job& job);
+    // Ends the job here and at its dispatcher, without an answer to its caller.
+    void withdraw(std::uint64_t ticket);
 
     const common::clock& m_clock;
     const common::stall_detector& m_stalls;
--- a/source/core/work/job.cpp
+++ b/source/core/work/job.cpp
@@ -101,6 +101,8 @@
         return "not_run";
     case job_end::given_up:
         return "given_up";
+    case job_end::cancelled:
+        return "cancelled";
     }
     return "";
 }
--- a/source/core/work/job.h
+++ b/source/core/work/job.h
@@ -77,6 +77,7 @@
     failed,    // a task failed as many times as its queue allows attempts
     not_run,   // no task has started, and none will
     given_up,  // some tasks may have run; none is running, or none will be kept running
+    cancelled, // on request; some tasks may have run, and none will be kept running
 };
 
 std::string_view to_string(job_end end);
--- a/source/integration_tests/platform_fleet.cpp
+++ b/source/integration_tests/platform_fleet.cpp
@@ -154,6 +154,13 @@
     return answer ? answer->status : 0;
 }
 
+int platform_fleet::cancel(int entry, const std::string& id) const {
+    httplib::Client client(host(entry), caller_port);
+    client.set_connection_timeout(1, 0);
+    const auto answer = client.Delete("/q/" + id, {{"Host", "h.example"}});
+    return answer ? answer->status : 0;
+}
+
 void platform_fleet::cut_power(int entry) {
     m_links->set_entry_fault(entry, {stand_ins::proxy_mode::drop, {}, 0});
     m_entries.at(entry)->kill();
