A number in a job that is beyond its type is an error, not another number

Callers would see: a job of tasks ran as one of a single task, a limit of tasks an executor as none, and a step after step as one after step 0. Cause: the JSON library's conversion to a narrower type keeps the low bits.

--- a/source/unit_tests/platform_adapter/codec_test.cpp
+++ b/source/unit_tests/platform_adapter/codec_test.cpp
@@ -242,6 +242,30 @@
                   true, false},
         body_case{"wrong_type", R"({"steps":[{"count":"x"}],"bestEffort":true})", false, true},
         body_case{"negative", R"({"steps":[{"count":1,"cpu":-5}],"bestEffort":true})", false, true},
+        // The fraction of an estimate says nothing.
+        body_case{"fraction",
+                  R"({"steps":[{"count":1,"cpu":5.5,"estimateMs":12.5}],"bestEffort":true})", true,
+                  false},
+        // Such numbers were taken for others: a job of 4294967297 tasks ran as one of a single
+        // task.
+        body_case{"count_beyond_its_type", R"({"steps":[{"count":4294967297}],"bestEffort":true})",
+                  false, true},
+        body_case{"cpu_beyond_64_bits_signed",
+                  R"({"steps":[{"count":1,"cpu":18446744073709551615}],"bestEffort":true})", false,
+                  true},
+        body_case{"memory_beyond_every_integer",
+                  R"({"steps":[{"count":1,"memMb":1e300}],"bestEffort":true})", false, true},
+        body_case{"estimate_beyond_every_integer",
+                  R"({"steps":[{"count":1,"estimateMs":1e300}],"bestEffort":true})", false, true},
+        body_case{"step_beyond_its_type",
+                  R"({"steps":[{"count":1},{"count":1,"after":[4294967296]}],"bestEffort":true})",
+                  false, true},
+        body_case{"limit_beyond_its_type",
+                  R"({"steps":[{"count":1,"maxPerServer":4294967296}],"bestEffort":true})", false,
+                  true},
+        body_case{"repeats_beyond_its_type",
+                  R"({"steps":[{"count":1}],"bestEffort":true,"repeatCount":4294967296})", false,
+                  false},
         body_case{"no_json", "steps", false, true}),
     [](const auto& it) { return it.param.name; });
 
