--- a/source/integration_tests/platform_soak_test.cpp
+++ b/source/integration_tests/platform_soak_test.cpp
@@ -6,9 +6,9 @@
 // of connections or datagrams alone, several links cut at once, and stop orders that are lost or
 // late. In one kind of run some tasks crash the executors that start them. Meanwhile callers send
 // jobs and resend them as the platform specifies. Checks that no task runs twice at once, that a
-// job refused as not run has not run, that every caller is answered in time, and that a task that
-// crashes executors is given up after a few. SAVORY_SOAK_SEED replays a run, SAVORY_SOAK_SECONDS
-// sets its length.
+// job refused as not run has not run, that every caller is answered in time, that no entry says
+// that a route which was added some time ago does not exist, and that a task that crashes executors
+// is given up after a few. SAVORY_SOAK_SEED replays a run, SAVORY_SOAK_SECONDS sets its length.
 #include <algorithm>
 #include <array>
 #include <atomic>
@@ -16,7 +16,9 @@
 #include <cstdlib>
 #include <functional>
 #include <gtest/gtest.h>
+#include <httplib.h>
 #include <map>
+#include <mutex>
 #include <random>
 #include <thread>
 
@@ -35,6 +37,10 @@
 // The caller's patience plus the tolerance for its last answer.
 constexpr milliseconds max_response_time{2000 + 500};
 
+// From the acknowledgement of an added route on, until no entry may refuse it as unknown.
+constexpr milliseconds configuration_bound{2000};
+constexpr milliseconds time_between_questions{40};
+
 std::uint64_t setting(const char* name, std::uint64_t default_value) {
     const char* text = std::getenv(name);
     return text == nullptr ? default_value : std::strtoull(text, nullptr, 10);
@@ -140,6 +146,46 @@
         }
     }
 
+    // Adds a route, which no later configuration removes.
+    void add_route() {
+        const std::lock_guard lock(m_routes_mutex);
+        m_prefixes.push_back("/added-" + std::to_string(m_prefixes.size()) + "/");
+        m_fleet.platform().configure(++m_version, m_prefixes);
+        m_added_at.push_back(steady_clock::now());
+    }
+
+    // The newest route that every entry has to know by now; empty if there is none.
+    std::string newest_due_route() {
+        const std::lock_guard lock(m_routes_mutex);
+        for (auto i = m_prefixes.size(); i > 0; i--) {
+            if (m_added_at[i - 1] + configuration_bound <= steady_clock::now()) {
+                return m_prefixes[i - 1];
+            }
+        }
+        return "";
+    }
+
+    // Adds routes from time to time, and asks entries whether they know them.
+    void check_routes() {
+        std::mt19937_64 random(m_seed);
+        while (!m_is_stopping) {
+            std::this_thread::sleep_for(time_between_questions);
+            if (random() % 30 == 0) {
+                add_route();
+            }
+            const auto prefix = newest_due_route();
+            if (prefix.empty()) {
+                continue;
+            }
+            httplib::Client client(m_fleet.host(pick_entry(random)), platform_fleet::caller_port);
+            client.set_connection_timeout(seconds(1));
+            client.set_read_timeout(seconds(1));
+            const auto answer = client.Get(prefix, {{"Host", "h.example"}});
+            m_routes_known += answer && answer->status == 200 ? 1 : 0;
+            m_routes_unknown += answer && answer->status == 404 ? 1 : 0;
+        }
+    }
+
     void report_late_answer(const std::string& id, int status, steady_clock::duration elapsed) {
         m_late_answers++;
         const auto ms = std::chrono::duration_cast<milliseconds>(elapsed).count();
@@ -205,7 +251,7 @@
             inject_link_fault();
             break;
         case 13:
-            platform.configure(++m_version);
+            add_route();
             break;
         case 0:
             m_fleet.entry(entry).kill();
@@ -249,7 +295,10 @@
     const std::uint64_t m_seed;
     std::mt19937_64 m_random;
     platform_fleet m_fleet{m_plan.fleet};
-    std::uint64_t m_version = 2;                         // configuration version
+    std::mutex m_routes_mutex;
+    std::uint64_t m_version = 2;         // of the configuration
+    std::vector<std::string> m_prefixes; // of the routes that were added
+    std::vector<steady_clock::time_point> m_added_at;
     std::vector<std::atomic<std::int64_t>> m_paused_ms = // total by entry
         std::vector<std::atomic<std::int64_t>>(m_plan.fleet.entries);
     // By entry: without power, or stopping.
@@ -258,6 +307,8 @@
     std::atomic<int> m_served = 0;
     std::atomic<int> m_late_answers = 0;
     std::atomic<int> m_false_refusals = 0;
+    std::atomic<int> m_routes_known = 0;
+    std::atomic<int> m_routes_unknown = 0;
 };
 
 void soak::run() {
@@ -273,7 +324,8 @@
         });
     }
     std::vector<std::thread> threads;
-    threads.reserve(m_plan.callers);
+    threads.reserve(m_plan.callers + 1);
+    threads.emplace_back([this] { check_routes(); });
     for (int i = 0; i < m_plan.callers; i++) {
         threads.emplace_back([this, i] { call(m_seed * m_plan.callers + i); });
     }
@@ -289,6 +341,8 @@
     EXPECT_EQ(m_false_refusals, 0) << "seed " << m_seed;
     EXPECT_EQ(m_late_answers, 0) << "seed " << m_seed;
     EXPECT_GT(m_served, 0) << "seed " << m_seed;
+    EXPECT_EQ(m_routes_unknown, 0) << "seed " << m_seed;
+    EXPECT_GT(m_routes_known, 0) << "seed " << m_seed;
     if (HasFailure()) {
         m_fleet.save_logs("soak-" + std::to_string(m_seed));
     }
