An executor that the platform lists no more is not kept for begun jobs

Found in reading: an executor is also released when its row is gone, and one that leaves could then get tasks of begun jobs for 1.5 s more; and one that is silent or leaves could be kept in the place of one that works. Change: what the list lacks is noted as leaving (note_unlisted), which starts nothing; neither such executors nor silent ones are kept. Test: keeps_another_executor_for_one_that_is_unlisted fails without the check in retained_executors, passes with it.

--- a/source/core/cell/executor_manager.cpp
+++ b/source/core/cell/executor_manager.cpp
@@ -65,6 +65,12 @@
     m_listener->on_resources_freed();
 }
 
+void executor_manager::note_unlisted(const std::string& executor) {
+    if (auto* it = find(executor)) {
+        it->info.is_draining = true; // until it is listed again
+    }
+}
+
 void executor_manager::apply_drains(executor_record& it) const {
     if (m_drains == nullptr) {
         return;
--- a/source/core/cell/executor_manager.h
+++ b/source/core/cell/executor_manager.h
@@ -106,6 +106,8 @@
     // ended and no job that has begun needs them.
     void assign(const std::vector<work::executor_info>& executors,
                 const std::set<std::string>& adopted = {});
+    // The platform lists the executor no more: nothing is started there, also while it is kept.
+    void note_unlisted(const std::string& executor);
     // The executors whose claim has succeeded; another entry must not claim them yet.
     std::vector<std::string> held() const;
     // False just after this process did not run: messages that wait are processed first.
--- a/source/core/cell/placement.cpp
+++ b/source/core/cell/placement.cpp
@@ -33,7 +33,7 @@
     if (!is_eligible(step, *request.upstream, it.info)) {
         return it.info.upstream == *request.upstream ? "label" : "other_upstream";
     }
-    if (it.is_retiring && !request.is_of_begun_job) {
+    if (it.is_kept_for_begun_jobs && !request.is_of_begun_job) {
         return "retiring";
     }
     if (it.is_drained &&
--- a/source/core/cell/retained_executors.cpp
+++ b/source/core/cell/retained_executors.cpp
@@ -17,7 +17,9 @@
 std::vector<retiring_executor> retiring_among(const executor_map& executors) {
     std::vector<retiring_executor> list;
     for (const auto& [id, it] : executors) {
-        if (it->is_retiring && it->state == claim_state::held) {
+        const bool is_usable =
+            it->state == claim_state::held && !it->is_unresponsive() && !it->info.is_draining;
+        if (it->is_retiring && is_usable) {
             list.push_back({&it->info, !it->runs.empty(), it->info.capacity});
         }
     }
--- a/source/unit_tests/cell/released_executors_test.cpp
+++ b/source/unit_tests/cell/released_executors_test.cpp
@@ -125,6 +125,25 @@
     EXPECT_EQ(executors_left(), 0U);
 }
 
+// An executor that the platform lists no more gets no further task, so that keeping it in place of
+// another one would strand the job.
+TEST_F(releasing_cell, keeps_another_executor_for_one_that_is_unlisted) {
+    auto job = make_job("a", 2, run_time);
+    job.steps.push_back(job.steps[0]);
+    job.steps[1].depends_on = {0};
+    submit(job);
+    m_cell.run_for(milliseconds(50));
+    ASSERT_EQ(m_cell.executor(0).running().size(), 2U);
+    m_cell.at(0).manager().note_unlisted("e0");
+    release_all();
+    m_cell.run_for(run_time + milliseconds(100));
+    EXPECT_TRUE(m_cell.executor(0).running().empty());
+    m_cell.run_for(run_time);
+    ASSERT_TRUE(m_outcomes.contains("a"));
+    EXPECT_EQ(m_outcomes.at("a").end, job_end::succeeded);
+    EXPECT_EQ(executors_left(), 0U);
+}
+
 // The other holder takes the executors as soon as they are free, and no task runs twice.
 TEST_F(releasing_cell, hands_over_to_another_holder) {
     for (int i = 0; i < 3; i++) {
