--- a/source/integration_tests/platform_soak_test.cpp
+++ b/source/integration_tests/platform_soak_test.cpp
@@ -467,7 +467,7 @@
             later(pick_time(), [this] { m_fleet.platform().set_store_down(false); });
             break;
         case 12:
-            m_fleet.platform().configure(++m_version);
+            add_route();
             break;
         default:
             misuse_stop_orders();
