--- a/source/core/gateway/forwarding_http.cpp
+++ b/source/core/gateway/forwarding_http.cpp
@@ -22,20 +22,10 @@
 
 forwarding_client::canceller http_forwarding_client::forward(const common::endpoint& to,
                                                              const passed_job& it, callback done) {
-    return m_client.send(
-        to, post(job_path, encode(it)), it.job.patience + outcome_slack,
-        [done = std::move(done)](const common::result<reactor::http_response>& response) {
-            if (!response) {
-                done(response.error());
-                return;
-            }
-            const auto outcome = decode_outcome(response.value().body);
-            if (response.value().status != 200 || !outcome) {
-                done(make_error_code(common::error::malformed));
-                return;
-            }
-            done(*outcome);
-        });
+    return m_client.send(to, post(job_path, encode(it)), it.job.patience + outcome_slack,
+                         [done = std::move(done)](const auto& response) {
+                             done(read_response(response, decode_outcome));
+                         });
 }
 
 void http_forwarding_client::abandon(const common::endpoint& to, const abandoned_job& it) {
--- a/source/core/gateway/forwarding_http.h
+++ b/source/core/gateway/forwarding_http.h
@@ -16,6 +16,20 @@
 // A request to another entry; `body` is an encoded message.
 reactor::http_request post(const char* path, std::string body);
 
+// The content of another entry's response, by a decoder that returns an optional.
+template <typename Decoder>
+auto read_response(const common::result<reactor::http_response>& it, const Decoder& decode)
+    -> common::result<typename decltype(decode(std::string()))::value_type> {
+    if (!it) {
+        return it.error();
+    }
+    const auto content = decode(it.value().body);
+    if (it.value().status != 200 || !content) {
+        return make_error_code(common::error::malformed);
+    }
+    return *content;
+}
+
 class http_forwarding_client final : public forwarding_client {
 public:
     explicit http_forwarding_client(reactor::http_client& client) : m_client(client) {}
--- a/source/core/gateway/gateway.cpp
+++ b/source/core/gateway/gateway.cpp
@@ -171,13 +171,7 @@
 }
 
 void gateway::end_earlier_attempts(const std::string& job) {
-    std::vector<std::uint64_t> earlier;
-    for (const auto& [ticket, it] : m_open) {
-        if (it.job.id == job) {
-            earlier.push_back(ticket);
-        }
-    }
-    for (const auto ticket : earlier) {
+    for (const auto ticket : tickets_of([&](const open_job& it) { return it.job.id == job; })) {
         const auto done = m_open.at(ticket).done;
         abandon(ticket);
         done({work::job_end::given_up, "its caller has sent it again", retry_after()});
@@ -425,12 +419,8 @@
 }
 
 void gateway::on_entry_lost(const std::string& name) {
-    std::vector<std::uint64_t> affected;
-    for (const auto& [ticket, it] : m_open) {
-        if (it.target == name && it.forward_number != 0) {
-            affected.push_back(ticket);
-        }
-    }
+    const auto affected =
+        tickets_of([&](const open_job& it) { return it.target == name && it.forward_number != 0; });
     for (const auto ticket : affected) {
         cancel_forward(ticket, make_error_code(common::error::connection_lost));
     }
@@ -443,6 +433,17 @@
     on_forwarding_failed(ticket, ec);
 }
 
+std::vector<std::uint64_t>
+gateway::tickets_of(const std::function<bool(const open_job&)>& matches) const {
+    std::vector<std::uint64_t> tickets;
+    for (const auto& [ticket, it] : m_open) {
+        if (matches(it)) {
+            tickets.push_back(ticket);
+        }
+    }
+    return tickets;
+}
+
 void gateway::note_caller_left(const open_job& job) {
     const auto age = std::chrono::duration_cast<milliseconds>(m_clock.now() - job.arrived);
     m_observer.job_event(job.job.id, "caller_left",
@@ -460,12 +461,9 @@
 }
 
 bool gateway::cancel(const cancelled_job& it) {
-    std::vector<std::uint64_t> tickets;
-    for (const auto& [ticket, open] : m_open) {
-        if (open.job.id == it.id && open.job.queue.name == it.queue) {
-            tickets.push_back(ticket);
-        }
-    }
+    const auto tickets = tickets_of([&](const open_job& open) {
+        return open.job.id == it.id && open.job.queue.name == it.queue;
+    });
     for (const auto ticket : tickets) {
         const auto done = m_open.at(ticket).done;
         withdraw(ticket);
--- a/source/core/gateway/gateway.h
+++ b/source/core/gateway/gateway.h
@@ -145,6 +145,9 @@
     void on_outcome(std::uint64_t ticket, const work::outcome& outcome);
     void on_forwarding_failed(std::uint64_t ticket, std::error_code ec);
     void finish(std::uint64_t ticket, const work::outcome& outcome);
+    // Of the open jobs that match: a copy, as ending one changes m_open.
+    std::vector<std::uint64_t>
+    tickets_of(const std::function<bool(const open_job&)>& matches) const;
     void note_caller_left(const open_job& job);
     // Ends the job here and at its dispatcher, without an answer to its caller.
     void withdraw(std::uint64_t ticket);
