--- a/source/core/fleet/freshness.cpp
+++ b/source/core/fleet/freshness.cpp
@@ -17,6 +17,12 @@
     m_as_of = m_as_of ? std::max(*m_as_of, as_of) : as_of;
 }
 
+void freshness::confirm(std::optional<milliseconds> age, time_point told_at) {
+    if (age) {
+        confirm(told_at - *age);
+    }
+}
+
 std::optional<milliseconds> freshness::age(time_point now) const {
     if (!m_as_of) {
         return std::nullopt;
--- a/source/core/fleet/freshness.h
+++ b/source/core/fleet/freshness.h
@@ -32,6 +32,9 @@
 
     // The version that this entry has was the newest at that time.
     void confirm(common::time_point as_of);
+    // Another entry that has the same version told at `told_at` how long before it was the newest,
+    // if it knew.
+    void confirm(std::optional<common::milliseconds> age, common::time_point told_at);
     // Time since the version was last known to be the newest; nullopt when it never was.
     std::optional<common::milliseconds> age(common::time_point now) const;
     // Whether the version was the newest a short time ago. A request may be refused on the ground
