--- a/source/integration_tests/platform_configuration_test.cpp
+++ b/source/integration_tests/platform_configuration_test.cpp
@@ -1,7 +1,6 @@
 // Tests with real entries, against the platform emulator, of when a new configuration is in force
 // while connections to the store fail.
 #include <gtest/gtest.h>
-#include <httplib.h>
 
 #include <functional>
 #include <thread>
@@ -40,12 +39,8 @@
 
 class configurations : public testing::TestWithParam<outage> {
 protected:
-    // The status of a request that only asks whether there is a queue.
     int ask(int entry, const std::string& prefix) const {
-        httplib::Client client(m_fleet.host(entry), platform_fleet::caller_port);
-        client.set_read_timeout(std::chrono::seconds(3));
-        const auto answer = client.Get(prefix, {{"Host", "h.example"}});
-        return answer ? answer->status : 0;
+        return m_fleet.ask(entry, prefix, std::chrono::seconds(3));
     }
 
     void SetUp() override {
--- a/source/integration_tests/platform_fleet.cpp
+++ b/source/integration_tests/platform_fleet.cpp
@@ -154,6 +154,14 @@
     return answer ? answer->status : 0;
 }
 
+int platform_fleet::ask(int entry, const std::string& prefix, common::milliseconds timeout) const {
+    httplib::Client client(host(entry), caller_port);
+    client.set_connection_timeout(1, 0);
+    client.set_read_timeout(timeout);
+    const auto answer = client.Get(prefix, {{"Host", "h.example"}});
+    return answer ? answer->status : 0;
+}
+
 int platform_fleet::cancel(int entry, const std::string& id) const {
     httplib::Client client(host(entry), caller_port);
     client.set_connection_timeout(1, 0);
--- a/source/integration_tests/platform_fleet.h
+++ b/source/integration_tests/platform_fleet.h
@@ -73,6 +73,9 @@
     // The same for a job whose tasks run an image.
     int submit_image(int entry, const std::string& image, const std::string& payload, int tasks,
                      int estimate_ms) const;
+    // Asks whether there is a queue at the prefix. Returns the HTTP status; 0 if no response
+    // arrived.
+    int ask(int entry, const std::string& prefix, common::milliseconds timeout) const;
     // Sends a DELETE of the job. Returns the HTTP status; 0 if no response arrived.
     int cancel(int entry, const std::string& id) const;
     // Makes the entry lose power: its callers' connections break, while all that it sends to other
--- a/source/integration_tests/platform_soak_test.cpp
+++ b/source/integration_tests/platform_soak_test.cpp
@@ -16,7 +16,6 @@
 #include <cstdlib>
 #include <functional>
 #include <gtest/gtest.h>
-#include <httplib.h>
 #include <map>
 #include <mutex>
 #include <random>
@@ -177,12 +176,9 @@
             if (prefix.empty()) {
                 continue;
             }
-            httplib::Client client(m_fleet.host(pick_entry(random)), platform_fleet::caller_port);
-            client.set_connection_timeout(seconds(1));
-            client.set_read_timeout(seconds(1));
-            const auto answer = client.Get(prefix, {{"Host", "h.example"}});
-            m_routes_known += answer && answer->status == 200 ? 1 : 0;
-            m_routes_unknown += answer && answer->status == 404 ? 1 : 0;
+            const int status = m_fleet.ask(pick_entry(random), prefix, seconds(1));
+            m_routes_known += status == 200 ? 1 : 0;
+            m_routes_unknown += status == 404 ? 1 : 0;
         }
     }
 
