--- a/source/unit_tests/gateway/gateway_test.cpp
+++ b/source/unit_tests/gateway/gateway_test.cpp
@@ -10,7 +10,9 @@
 #include "core/gateway/forwarding_codec.h"
 #include "core/gateway/forwarding_service.h"
 #include "fleet.pb.h"
+#include "unit_tests/cell/held_executor.h"
 #include "unit_tests/cell/jobs.h"
+#include "unit_tests/cell/recorded_orders.h"
 
 namespace savorytrail::gateway {
 namespace {
@@ -43,18 +45,6 @@
     std::vector<std::uint64_t> abandoned_numbers;
 };
 
-class fake_order_sink final : public cell::order_sink {
-public:
-    void start(const work::executor_info&, const cell::start_order& order) override {
-        started.push_back(order);
-    }
-    void stop(const work::executor_info&, const cell::stop_order&) override {}
-    void ask_report(const work::executor_info&, const cell::report_request&) override {}
-    void forget(const work::executor_info&) override {}
-
-    std::vector<cell::start_order> started;
-};
-
 // Keeps the events of jobs as "EVENT DETAIL".
 class event_recorder final : public cell::job_observer, public cell::executor_observer {
 public:
@@ -100,7 +90,7 @@
     common::manual_clock m_clock;
     std::uint64_t m_sequence = 1;
     event_recorder m_observer;
-    fake_order_sink m_orders;
+    cell::recorded_orders m_orders;
     fake_forwarding_client m_client;
     cell::executor_manager m_executor_manager{
         {}, m_clock, m_orders, [](cell::claim_attempt) { return std::int64_t{1}; }, m_observer};
@@ -429,20 +419,7 @@
         ASSERT_TRUE(m_service.handle(request, answer));
     }
 
-    // Gives the own dispatcher an executor, so that it admits jobs.
-    void hold_an_executor() {
-        work::executor_info info;
-        info.id = "e0";
-        info.upstream = "u";
-        info.capacity = {64000, 131072, 0};
-        m_executor_manager.tick(); // the first tick after a while is a late one
-        m_executor_manager.tick();
-        m_executor_manager.assign({info});
-        work::run_report report;
-        report.clock_ms = 1;
-        report.start_time_ms = 1;
-        m_executor_manager.on_report("e0", 1, work::order_status::accepted, report);
-    }
+    void hold_an_executor() { cell::hold_an_executor(m_executor_manager); }
 
     std::vector<std::string> m_datagrams;
     forwarding_service m_service{
@@ -469,10 +446,10 @@
     receive_job(5);
     EXPECT_EQ(last_request().numbers, std::vector<std::uint64_t>{5});
     EXPECT_EQ(last_request().incarnation, 1U);
-    EXPECT_TRUE(m_orders.started.empty());
+    EXPECT_TRUE(m_orders.starts.empty());
     const lease_answer granted{"near", 1, last_request().stamp, {5}, {}};
     m_service.receive(granted);
-    EXPECT_EQ(m_orders.started.size(), 1U);
+    EXPECT_EQ(m_orders.starts.size(), 1U);
 }
 
 // A dispatcher went on with a job whose entry had given it up: nothing had told it so.
@@ -493,7 +470,7 @@
     receive_job(5);
     m_service.receive({"near", 2, last_request().stamp, {5}, {}});
     m_service.receive({"near", 2, last_request().stamp, {}, {5}});
-    EXPECT_TRUE(m_orders.started.empty());
+    EXPECT_TRUE(m_orders.starts.empty());
     EXPECT_EQ(m_dispatcher.open_jobs(), 1U);
 }
 
--- a/source/unit_tests/gateway/job_canceller_test.cpp
+++ b/source/unit_tests/gateway/job_canceller_test.cpp
@@ -4,7 +4,10 @@
 #include <gtest/gtest.h>
 
 #include "core/gateway/forwarding_http.h"
+#include "unit_tests/cell/held_executor.h"
 #include "unit_tests/cell/jobs.h"
+#include "unit_tests/cell/no_observer.h"
+#include "unit_tests/cell/recorded_orders.h"
 
 namespace savorytrail::gateway {
 namespace {
@@ -15,23 +18,6 @@
 constexpr int entries = 3;
 const cancelled_job the_job{"a", "q"};
 
-class no_events final : public cell::job_observer, public cell::executor_observer {
-public:
-    void job_event(const std::string&, std::string_view, const std::string&) override {}
-    void executor_changed(const std::string&, std::string_view, std::string_view) override {}
-};
-
-class recorded_orders final : public cell::order_sink {
-public:
-    void start(const work::executor_info&, const cell::start_order&) override { starts++; }
-    void stop(const work::executor_info&, const cell::stop_order&) override { stops++; }
-    void ask_report(const work::executor_info&, const cell::report_request&) override {}
-    void forget(const work::executor_info&) override {}
-
-    int starts = 0;
-    int stops = 0;
-};
-
 // Passes a response on to a function.
 class function_responder final : public reactor::responder {
 public:
@@ -131,19 +117,7 @@
         };
     }
 
-    void hold_an_executor() {
-        work::executor_info info;
-        info.id = "e0";
-        info.upstream = "u";
-        info.capacity = {64000, 131072, 0};
-        m_executor_manager.tick(); // the first tick after a while is a late one
-        m_executor_manager.tick();
-        m_executor_manager.assign({info});
-        work::run_report report;
-        report.clock_ms = 1;
-        report.start_time_ms = 1;
-        m_executor_manager.on_report("e0", 1, work::order_status::accepted, report);
-    }
+    void hold_an_executor() { cell::hold_an_executor(m_executor_manager); }
 
     void hear_of(int other, bool dispatches) {
         fleet::heartbeat it;
@@ -173,15 +147,15 @@
 
     job_canceller& canceller() { return m_canceller; }
     std::size_t open_jobs() const { return m_gateway.open_jobs() + m_dispatcher.open_jobs(); }
-    const recorded_orders& orders() const { return m_orders; }
+    const cell::recorded_orders& orders() const { return m_orders; }
 
     std::vector<job_end> ends;          // as the caller was answered
     std::vector<cancel_result> results; // likewise
 
 private:
     const common::clock& m_clock;
-    no_events m_observer;
-    recorded_orders m_orders;
+    cell::no_observer m_observer;
+    cell::recorded_orders m_orders;
     network_client m_client;
     cell::executor_manager m_executor_manager{
         {}, m_clock, m_orders, [](cell::claim_attempt) { return std::int64_t{1}; }, m_observer};
@@ -244,7 +218,7 @@
 TEST_P(a_running_job, is_cancelled_wherever_it_is) {
     start(GetParam().dispatcher);
     auto& dispatcher = *m_entries[GetParam().dispatcher];
-    ASSERT_EQ(dispatcher.orders().starts, 2);
+    ASSERT_EQ(dispatcher.orders().starts.size(), 2U);
     auto& asked = *m_entries[GetParam().asked];
     asked.cancel(the_job);
     EXPECT_EQ(asked.results, std::vector{cancel_result::cancelled});
--- a/source/unit_tests/platform_adapter/executor_assigner_test.cpp
+++ b/source/unit_tests/platform_adapter/executor_assigner_test.cpp
@@ -5,6 +5,7 @@
 
 #include "core/cell/dispatcher.h"
 #include "core/reactor/http_server.h"
+#include "unit_tests/cell/no_observer.h"
 
 namespace savorytrail::platform_adapter {
 namespace {
@@ -15,12 +16,6 @@
 constexpr milliseconds tick_period{40};
 constexpr milliseconds adoption_time{6000};
 
-class no_observer final : public cell::executor_observer, public cell::job_observer {
-public:
-    void executor_changed(const std::string&, std::string_view, std::string_view) override {}
-    void job_event(const std::string&, std::string_view, const std::string&) override {}
-};
-
 // An entry of domain "a". The only executor is of domain "b", which has no entries.
 class adopting_entry : public testing::Test {
 protected:
@@ -62,7 +57,7 @@
     common::system_clock m_clock;
     reactor::loop m_loop;
     reactor::http_client m_client;
-    no_observer m_observer;
+    cell::no_observer m_observer;
     std::int64_t m_fence = 0;
     executor_orders m_orders;
     cell::executor_manager m_manager;
--- a/source/unit_tests/platform_adapter/ingress_test.cpp
+++ b/source/unit_tests/platform_adapter/ingress_test.cpp
@@ -5,6 +5,8 @@
 #include <gtest/gtest.h>
 
 #include "platform/names.h"
+#include "unit_tests/cell/no_observer.h"
+#include "unit_tests/cell/recorded_orders.h"
 
 namespace savorytrail::platform_adapter {
 namespace {
@@ -16,20 +18,6 @@
 constexpr const char* job_path = "/q/0123456789abcdef";
 constexpr milliseconds patience{2000};
 
-class no_events final : public cell::job_observer, public cell::executor_observer {
-public:
-    void job_event(const std::string&, std::string_view, const std::string&) override {}
-    void executor_changed(const std::string&, std::string_view, std::string_view) override {}
-};
-
-class no_orders final : public cell::order_sink {
-public:
-    void start(const work::executor_info&, const cell::start_order&) override {}
-    void stop(const work::executor_info&, const cell::stop_order&) override {}
-    void ask_report(const work::executor_info&, const cell::report_request&) override {}
-    void forget(const work::executor_info&) override {}
-};
-
 // Keeps the jobs that are passed on, and never answers.
 class recorded_forwards final : public gateway::forwarding_client, public gateway::cancel_client {
 public:
@@ -97,8 +85,8 @@
 
     common::manual_clock m_clock;
     std::uint64_t m_sequence = 0;
-    no_events m_events;
-    no_orders m_orders;
+    cell::no_observer m_events;
+    cell::recorded_orders m_orders;
     recorded_forwards m_forwards;
     common::seeded_random m_random{1};
     common::stall_detector m_stalls{m_clock, milliseconds(160)};
