Stand-in executors end their connections with their process, and may come back as another kind

Cause: an emulated executor that crashed went on answering on the connections of its former process, so that its restart was seen at once and no order could be on its way to the wrong one. Change: a process that ends closes its connections, and refuses new ones while none is up; executors have kinds, drain, and count starts on themselves and starts without the label that a payload names. http_server gets close_connections(); its listening socket is not passed on to spawned processes, which kept the address in use.

--- a/source/core/reactor/http_server.cpp
+++ b/source/core/reactor/http_server.cpp
@@ -1,5 +1,6 @@
 #include "core/reactor/http_server.h"
 
+#include <fcntl.h>
 #include <poll.h>
 #include <sys/socket.h>
 
@@ -9,6 +10,8 @@
 #include <cerrno>
 #include <deque>
 #include <optional>
+#include <set>
+#include <vector>
 
 #include "core/reactor/native.h"
 
@@ -18,6 +21,12 @@
 using boost::asio::ip::tcp;
 using boost::system::error_code;
 
+namespace {
+
+class session;
+
+} // namespace
+
 struct http_server::state {
     state(loop& event_loop, server_limits its_limits, handler its_handler)
         : io(event_loop.native().io), limits(its_limits), handle(std::move(its_handler)),
@@ -27,7 +36,7 @@
     const server_limits limits;
     const handler handle;
     tcp::acceptor acceptor;
-    std::size_t connections = 0;
+    std::set<session*> sessions;
     bool close_after_responses = false;
 };
 
@@ -58,15 +67,16 @@
     session(server_state server, tcp::socket socket)
         : m_server(std::move(server)), m_socket(std::move(socket)),
           m_hangup_check(m_socket.get_executor()) {
-        m_server->connections++;
+        m_server->sessions.insert(this);
     }
-    ~session() { m_server->connections--; }
+    ~session() { m_server->sessions.erase(this); }
     session(const session&) = delete;
     session& operator=(const session&) = delete;
 
     void read();
     void send(http_response response, std::uint64_t request);
     void on_disconnect(std::function<void()> callback, std::uint64_t request);
+    void close();
 
 private:
     void on_read(error_code ec);
@@ -82,7 +92,6 @@
     // The same while earlier data are unread.
     bool has_hung_up();
     void reject_oversized(error_code ec);
-    void close();
 
     const server_state m_server;
     tcp::socket m_socket;
@@ -287,7 +296,7 @@
         if (ec == boost::asio::error::operation_aborted) {
             return;
         }
-        if (!ec && server->connections < server->limits.max_connections) {
+        if (!ec && server->sessions.size() < server->limits.max_connections) {
             configure_socket(socket, unacknowledged_timeout);
             std::make_shared<session>(server, std::move(socket))->read();
         }
@@ -311,6 +320,8 @@
     auto& acceptor = m_state->acceptor;
     acceptor.open(native_address.protocol(), ec);
     if (!ec) {
+        // A process that is spawned would keep the address in use.
+        ::fcntl(acceptor.native_handle(), F_SETFD, FD_CLOEXEC);
         acceptor.set_option(boost::asio::socket_base::reuse_address(true), ec);
     }
     if (!ec) {
@@ -330,8 +341,20 @@
     m_state->close_after_responses = true;
 }
 
+void http_server::close_connections() {
+    std::vector<std::shared_ptr<session>> open; // closing one may destroy others
+    for (auto* it : m_state->sessions) {
+        if (auto session = it->weak_from_this().lock()) {
+            open.push_back(std::move(session));
+        }
+    }
+    for (const auto& it : open) {
+        it->close();
+    }
+}
+
 std::size_t http_server::connections() const {
-    return m_state->connections;
+    return m_state->sessions.size();
 }
 
 } // namespace savorytrail::reactor
--- a/source/core/reactor/http_server.h
+++ b/source/core/reactor/http_server.h
@@ -52,6 +52,9 @@
     // From now on every response closes its connection, so that clients reconnect to other entries.
     void close_after_responses();
 
+    // Closes all connections at once, also those that await a response.
+    void close_connections();
+
     std::size_t connections() const;
 
     struct state;
--- a/source/integration_tests/platform_fleet.cpp
+++ b/source/integration_tests/platform_fleet.cpp
@@ -24,6 +24,7 @@
                   m_plan.with_links ? platform_links::executor_proxy_octet : 1,
                   m_plan.executor_domains.empty() ? m_plan.domains : m_plan.executor_domains,
                   m_plan.executors,
+                  m_plan.executor_kinds,
                   {64000, 131072, 0},
                   m_plan.longest_lease}),
       m_folder(std::filesystem::temp_directory_path() / ("savory-" + m_network)),
@@ -132,6 +133,14 @@
                     R"(,"cpu":27000,"memMb":64,"estimateMs":)" + std::to_string(estimate_ms) + "}");
 }
 
+int platform_fleet::submit_on(int entry, const std::string& label, int ms) const {
+    const auto text = std::to_string(ms);
+    return post(entry, new_id(), {milliseconds(1500), milliseconds(1500)},
+                "27000 " + text + " on " + label,
+                R"({"count":1,"cpu":27000,"memMb":64,"estimateMs":)" + text +
+                    R"(,"requiredLabel":")" + label + R"("})");
+}
+
 int platform_fleet::submit_image(int entry, const std::string& image, const std::string& payload,
                                  int tasks, int estimate_ms) const {
     return post(entry, new_id(), {}, payload,
--- a/source/integration_tests/platform_fleet.h
+++ b/source/integration_tests/platform_fleet.h
@@ -26,6 +26,8 @@
         std::vector<std::string> domains = {"a"};
         // Those of the executors, if they differ.
         std::vector<std::string> executor_domains = {};
+        // Labels of the executors, in round-robin order.
+        std::vector<std::string> executor_kinds = {};
         // Routes the entries' traffic to each other, to executors and to the store through proxies.
         bool with_links = false;
         common::milliseconds longest_lease{1000}; // the longest lease that executors grant
@@ -70,6 +72,9 @@
     // The same for a caller that waits that long. Returns as soon as the connection breaks.
     int submit(int entry, const std::string& payload, int tasks, int estimate_ms,
                const std::string& id, const caller_patience& patience) const;
+    // The same for a job of one task of `ms` that requires an executor with the label, for a caller
+    // that waits for less than two seconds.
+    int submit_on(int entry, const std::string& label, int ms) const;
     // The same for a job whose tasks run an image.
     int submit_image(int entry, const std::string& image, const std::string& payload, int tasks,
                      int estimate_ms) const;
--- a/source/stand_ins/users_platform/emulator.cpp
+++ b/source/stand_ins/users_platform/emulator.cpp
@@ -24,8 +24,8 @@
 }
 
 // The payload of a job gives the CPU and the duration of its tasks, and whether they fail, or crash
-// their executors halfway: "CPU_MILLIS MILLISECONDS [fail|crash]", or any other word, by which
-// set_interference() tells payloads apart.
+// their executors halfway, or which label they require: "CPU_MILLIS MILLISECONDS [fail|crash|on
+// LABEL]", or any other word, by which set_interference() tells payloads apart.
 cell::simulated_executor::simulated_task parse_payload(const std::string& payload) {
     const auto space = payload.find(' ');
     const milliseconds work(std::stoll(payload.substr(space + 1)));
@@ -36,6 +36,13 @@
             crashes_after};
 }
 
+// Empty if the payload names none.
+std::string required_label(const std::string& payload) {
+    constexpr std::string_view marker = " on ";
+    const auto at = payload.find(marker);
+    return at == std::string::npos ? "" : payload.substr(at + marker.size());
+}
+
 } // namespace
 
 std::string to_string(const overlap& it) {
@@ -60,10 +67,13 @@
 
 struct emulator::executor_host {
     cell::simulated_executor simulated;
-    std::unique_ptr<reactor::http_server> server;
+    std::unique_ptr<reactor::http_server> server; // null while no process answers
+    int number = 0;
     stop_fault on_stop = stop_fault::none;
     std::size_t crashes_counted = 0;      // of those by tasks
     std::int64_t registered_start_ms = 0; // of the process that its row tells of
+    std::int64_t serving_start_ms = 0;    // of the process that the connections lead to
+    std::uint64_t starts = 0;
 };
 
 emulator::emulator(options its_options) : m_options(std::move(its_options)) {}
@@ -88,15 +98,15 @@
         info.upstream = "upstream";
         info.capacity = m_options.capacity;
         info.start_time_ms = 1;
+        if (!m_options.kinds.empty()) {
+            info.labels = {m_options.kinds[i % m_options.kinds.size()]};
+        }
         auto host = std::make_unique<executor_host>(
             executor_host{cell::simulated_executor(info, 0.99), nullptr});
         host->simulated.longest_lease_ms = m_options.longest_lease.count();
-        host->server = std::make_unique<reactor::http_server>(
-            m_loop, reactor::server_limits{},
-            [this, at = host.get()](const auto& request, const auto& to) {
-                serve_executor(*at, request, to);
-            });
-        host->server->listen(executor(i)).value();
+        host->number = i;
+        host->serving_start_ms = info.start_time_ms;
+        listen(*host);
         register_executor(*host);
         m_executors.push_back(std::move(host));
     }
@@ -104,11 +114,32 @@
     m_thread = std::thread([this] { m_loop.run(); });
 }
 
+void emulator::listen(executor_host& host) {
+    host.server = std::make_unique<reactor::http_server>(
+        m_loop, reactor::server_limits{}, [this, at = &host](const auto& request, const auto& to) {
+            serve_executor(*at, request, to);
+        });
+    host.server->listen(executor(host.number)).value();
+}
+
+void emulator::follow_process(executor_host& host) {
+    const auto start_ms = host.simulated.current_report().start_time_ms;
+    if (host.serving_start_ms != start_ms && host.server != nullptr) {
+        host.server->close_connections();
+        host.server = nullptr;
+    }
+    if (host.server == nullptr && !host.simulated.is_down()) {
+        host.serving_start_ms = start_ms;
+        listen(host);
+    }
+}
+
 void emulator::advance() {
     const std::lock_guard lock(m_mutex);
     for (const auto& it : m_executors) {
         it->simulated.advance(now());
         m_crash_budget.count_crashes(it->simulated, it->crashes_counted);
+        follow_process(*it);
         const bool is_new = it->registered_start_ms != it->simulated.info().start_time_ms;
         if (is_new && !it->simulated.is_down()) {
             register_executor(*it);
@@ -231,6 +262,30 @@
     m_executors.at(i)->simulated.crash(now());
 }
 
+void emulator::restart_executor(int i, const std::string& kind, milliseconds down_time) {
+    const std::lock_guard lock(m_mutex);
+    auto& simulated = m_executors.at(i)->simulated;
+    simulated.set_labels({kind});
+    simulated.down_time = down_time;
+    simulated.crash(now());
+    simulated.down_time = milliseconds(0);
+}
+
+std::string emulator::kind_of(int executor) {
+    const std::lock_guard lock(m_mutex);
+    return m_executors.at(executor)->simulated.info().labels.at(0);
+}
+
+std::vector<std::string> emulator::starts_without_label() {
+    const std::lock_guard lock(m_mutex);
+    return m_starts_without_label;
+}
+
+std::uint64_t emulator::starts_on(int executor) {
+    const std::lock_guard lock(m_mutex);
+    return m_executors.at(executor)->starts;
+}
+
 void emulator::set_executor_reachable(int i, bool is_reachable) {
     const std::lock_guard lock(m_mutex);
     m_executors.at(i)->simulated.is_reachable = is_reachable;
@@ -314,6 +369,13 @@
     put(names::operator_table, names::configuration_key, codec::encode_configuration(it));
 }
 
+void emulator::drain_executor(int i) {
+    const std::lock_guard lock(m_mutex);
+    auto& host = *m_executors.at(i);
+    host.simulated.set_draining(true);
+    register_executor(host);
+}
+
 void emulator::write_executor_row(const std::string& id, const std::string& value) {
     put(names::executor_table, id, value);
 }
@@ -412,6 +474,9 @@
         return;
     }
     simulated.advance(now());
+    if (host.serving_start_ms != simulated.current_report().start_time_ms) {
+        return; // sent to the process before, whose connections are about to be closed
+    }
     const auto expected = reactor::find_header(request.headers, names::expected_executor_header);
     if (!expected.empty() && expected != simulated.info().id) {
         to->send({421, {}, "", json_type});
@@ -421,10 +486,7 @@
         const auto order = codec::decode_start(request.body);
         const auto reply = simulated.start(order, parse_payload(order.payload));
         if (reply.status == work::order_status::accepted) {
-            m_starts++;
-            m_starts_in[simulated.info().failure_domain]++;
-            m_started_jobs.insert(order.run.task.job);
-            m_starts_beyond_budget += m_crash_budget.note_start(order.run.task) ? 1 : 0;
+            note_start(host, order);
             advance();
         }
         to->send(codec::encode_reply(reply));
@@ -441,6 +503,20 @@
     }
 }
 
+void emulator::note_start(executor_host& host, const cell::start_order& order) {
+    const auto& info = host.simulated.info();
+    m_starts++;
+    host.starts++;
+    m_starts_in[info.failure_domain]++;
+    m_started_jobs.insert(order.run.task.job);
+    m_starts_beyond_budget += m_crash_budget.note_start(order.run.task) ? 1 : 0;
+    const auto label = required_label(order.payload);
+    if (!label.empty() && !info.has_label(label)) {
+        m_starts_without_label.push_back(order.run.task.job + " requires " + label + ", on " +
+                                         info.id);
+    }
+}
+
 void emulator::stop_run(executor_host& host, const reactor::http_request& request,
                         const answer& to) {
     const auto carry_out = [this, &host, order = codec::decode_stop(request.body), to] {
@@ -466,6 +542,9 @@
 void emulator::wait_for_end(executor_host& host, common::time_point until, const answer& to) {
     const std::lock_guard lock(m_mutex);
     const auto report = host.simulated.current_report();
+    if (host.serving_start_ms != report.start_time_ms) {
+        return; // asked of the process before, whose connections are closed
+    }
     if (report.ended.empty() && now() < until) {
         m_loop.after(poll_interval, [=, this, &host] { wait_for_end(host, until, to); });
         return;
--- a/source/stand_ins/users_platform/emulator.h
+++ b/source/stand_ins/users_platform/emulator.h
@@ -57,6 +57,8 @@
         int listed_subnet = 1;
         std::vector<std::string> failure_domains; // assigned to the executors round-robin
         int executors = 4;
+        std::vector<std::string>
+            kinds; // labels, assigned to the executors round-robin; may be empty
         work::resources capacity{64000, 131072, 0};
         common::milliseconds longest_lease{1000}; // the longest that executors grant
     };
@@ -81,6 +83,8 @@
     // Writes the row that drains a failure domain, or removes it.
     void drain(const std::string& domain, const std::string& value = "{}");
     void end_drain(const std::string& domain);
+    // Lets the executor report that it drains, and serve on.
+    void drain_executor(int i);
     // Writes a row of any content among those of the executors.
     void write_executor_row(const std::string& id, const std::string& value);
     std::string executor_id(int executor);
@@ -104,7 +108,14 @@
 
     // Whether any task of the job has ever started.
     bool has_started(const std::string& job);
+    // Ends the executor's process and its connections; the next one answers at once.
     void crash_executor(int i);
+    // The same, but the next process answers after `down_time`, as an executor of another kind.
+    void restart_executor(int i, const std::string& kind, common::milliseconds down_time);
+    std::string kind_of(int executor);
+    // Starts of tasks, described, on executors without the label that their payload names.
+    std::vector<std::string> starts_without_label();
+    std::uint64_t starts_on(int executor);
     // An unreachable executor sends no responses and keeps running its tasks.
     void set_executor_reachable(int i, bool is_reachable);
     void set_executor_slowdown(int i, double slowdown);
@@ -148,6 +159,10 @@
                         const answer& to);
     void wait_for_end(executor_host& host, common::time_point until, const answer& to);
     void register_executor(executor_host& host);
+    void listen(executor_host& host);
+    // Ends the connections of a process that has ended, and lets the next one serve when it is up.
+    void follow_process(executor_host& host);
+    void note_start(executor_host& host, const cell::start_order& order);
     void stop_run(executor_host& host, const reactor::http_request& request, const answer& to);
     void advance();
     void note_overlaps();
@@ -175,6 +190,7 @@
     std::unique_ptr<reactor::http_server> m_store;
     std::set<std::string> m_started_jobs;
     std::map<std::string, std::uint64_t> m_starts_in; // by domain
+    std::vector<std::string> m_starts_without_label;
     std::vector<overlap> m_overlaps;
     std::vector<interference> m_interference;
     std::set<std::pair<work::run_key, work::run_key>> m_interfering_runs;
--- a/source/stand_ins/users_platform/simulated_executor.cpp
+++ b/source/stand_ins/users_platform/simulated_executor.cpp
@@ -164,6 +164,7 @@
     m_down_until = now + down_time;
     m_start_time_ms++;
     m_info.start_time_ms = m_info.start_time_ms == 0 ? 0 : m_start_time_ms;
+    m_info.is_draining = false;
     m_fence = 0;
     m_lease_until = 0;
     m_next_sequence = 1;
--- a/source/stand_ins/users_platform/simulated_executor.h
+++ b/source/stand_ins/users_platform/simulated_executor.h
@@ -54,6 +54,8 @@
     const std::vector<work::task_id>& crashed_by() const { return m_crashed_by; }
     // What it offers from now on; runs that no longer fit go on.
     void set_capacity(const work::resources& it);
+    // What it reports of itself; it serves on, and the next process does not drain.
+    void set_draining(bool is_draining) { m_info.is_draining = is_draining; }
     void set_labels(std::vector<std::string> labels) { m_info.labels = std::move(labels); }
 
     const work::executor_info& info() const { return m_info; }
