A start order reaches the process that it is for, or none

Cause: an order goes to an address. On a new connection, as for each repeat after 30 ms without an answer, it reached whatever process listens there; the id is the same, and a new process has no fence and a clock that is behind. Change: the client remembers to which process a connection leads, as a report on it tells, and a start goes only over such a connection; where there is none, a report is asked for on it first. Why it works: a connection leads to one process for all its life.

--- a/source/core/cell/executor_manager.cpp
+++ b/source/core/cell/executor_manager.cpp
@@ -152,6 +152,7 @@
     order.payload = plan.payload;
     order.until_ms = next_lease_end(*it);
     order.fence = it->fence;
+    order.process = it->start_time_ms;
     note_grant(*it, order.until_ms);
     m_orders.start(it->info, order);
     return true;
@@ -171,6 +172,7 @@
     order.payload = run.payload;
     order.until_ms = next_lease_end(it);
     order.fence = it.fence;
+    order.process = it.start_time_ms;
     order.is_repeat = true;
     note_grant(it, order.until_ms);
     m_orders.start(it.info, order);
@@ -335,6 +337,9 @@
     if (reply.status == order_status::insufficient_resources) {
         it->resources_exhausted_until = now + insufficient_resources_delay;
     }
+    if (reply.status == order_status::other_process) {
+        distrust(*it);
+    }
     if (is_only_copy) {
         finish_run(*it, run, {run_result::refused, reply.status});
         m_listener->on_resources_freed();
@@ -346,6 +351,16 @@
     }
 }
 
+void executor_manager::distrust(executor_record& it) {
+    if (it.is_unresponsive()) {
+        return;
+    }
+    it.missed_reports = 1;
+    m_observer.executor_changed(it.info.id, "executor_replaced",
+                                "another process answered before a start order");
+    request_report(it, milliseconds(0));
+}
+
 void executor_manager::on_stop_reply(const std::string& executor, const work::run_key& run,
                                      const work::order_reply& reply) {
     auto* it = find(executor);
--- a/source/core/cell/orders.h
+++ b/source/core/cell/orders.h
@@ -15,6 +15,9 @@
     std::string payload;
     std::int64_t until_ms = 0; // end of the lease, on the executor's clock
     std::int64_t fence = 0;
+    // Unix milliseconds of the start of the executor's process that it is for, and no other process
+    // may get it; 0 if that is not known.
+    std::int64_t process = 0;
     bool is_repeat = false; // a previous copy was not answered; use a new connection
 
     bool operator==(const start_order&) const = default;
--- a/source/core/reactor/http_client.cpp
+++ b/source/core/reactor/http_client.cpp
@@ -1,5 +1,6 @@
 #include "core/reactor/http_client.h"
 
+#include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
@@ -29,6 +30,7 @@
 
     boost::asio::io_context& io;
     std::map<common::endpoint, std::vector<std::shared_ptr<connection>>> idle;
+    std::uint64_t connections = 0; // opened so far
     bool is_closed = false;
 };
 
@@ -67,12 +69,18 @@
 class connection : public std::enable_shared_from_this<connection> {
 public:
     connection(const client_state& owner, common::endpoint to)
-        : m_owner(owner), m_address(std::move(to)), m_socket(owner->io), m_timer(owner->io) {}
+        : m_owner(owner), m_address(std::move(to)), m_number(++owner->connections),
+          m_socket(owner->io), m_timer(owner->io) {}
 
     void start(http_request request, common::milliseconds timeout, http_client::callback done);
     void cancel(std::uint64_t request_number);
     void close();
+    std::uint64_t number() const { return m_number; }
     std::uint64_t request_number() const { return m_request_number; }
+    void note_process(peer_process it) { m_process = it; }
+    bool leads_to(peer_process it) const { return it == any_process || it == m_process; }
+    // Bytes may have arrived that the loop has not noticed yet.
+    bool is_usable(peer_process to) const { return leads_to(to) && !has_unread_bytes(); }
     // Whether bytes have arrived while no request was outstanding. They must not be taken for the
     // answer to the next one.
     bool has_unread_bytes() const;
@@ -89,6 +97,8 @@
 
     const std::weak_ptr<http_client::state> m_owner;
     const common::endpoint m_address;
+    const std::uint64_t m_number;         // unique in the client
+    peer_process m_process = any_process; // at the other end, if it is known
     tcp::socket m_socket;
     boost::asio::steady_timer m_timer;
     boost::beast::flat_buffer m_buffer;
@@ -181,7 +191,9 @@
     auto response = m_parser->release();
     // Bytes that are left over must not be taken for the answer to the next request.
     const bool keep_alive = response.keep_alive() && m_buffer.size() == 0;
-    const common::result<http_response> outcome = from_native(std::move(response));
+    auto received = from_native(std::move(response));
+    received.connection = m_number;
+    const common::result<http_response> outcome = std::move(received);
     auto done = std::exchange(m_done, nullptr);
     const auto owner = m_owner.lock();
     if (!keep_alive || !owner || owner->is_closed) {
@@ -264,6 +276,25 @@
     }
 }
 
+// The one of the idle connections to the process that was used last; null if there is none.
+std::shared_ptr<connection> take_idle(http_client::state& of, const common::endpoint& to,
+                                      peer_process process) {
+    const auto it = of.idle.find(to);
+    if (it == of.idle.end()) {
+        return nullptr;
+    }
+    auto& list = it->second;
+    const auto found = std::find_if(list.rbegin(), list.rend(), [&](const auto& connection) {
+        return connection->is_usable(process);
+    });
+    if (found == list.rend()) {
+        return nullptr;
+    }
+    auto taken = std::move(*found);
+    list.erase(std::next(found).base());
+    return taken;
+}
+
 } // namespace
 
 std::string describe(const common::result<http_response>& it) {
@@ -283,17 +314,8 @@
 
 http_client::canceller http_client::send(const common::endpoint& to, http_request request,
                                          common::milliseconds timeout, callback done,
-                                         bool new_connection) {
-    std::shared_ptr<connection> chosen;
-    if (const auto it = m_state->idle.find(to);
-        !new_connection && it != m_state->idle.end() && !it->second.empty()) {
-        chosen = std::move(it->second.back());
-        it->second.pop_back();
-    }
-    if (chosen && chosen->has_unread_bytes()) { // the loop has not noticed them yet
-        chosen->close();
-        chosen = nullptr;
-    }
+                                         send_options options) {
+    auto chosen = options.new_connection ? nullptr : take_idle(*m_state, to, options.to_process);
     if (!chosen) {
         chosen = std::make_shared<connection>(m_state, to);
     }
@@ -305,6 +327,26 @@
     };
 }
 
+void http_client::note_process(const common::endpoint& at, const http_response& from,
+                               peer_process process) {
+    const auto it = m_state->idle.find(at);
+    if (it == m_state->idle.end()) {
+        return;
+    }
+    for (const auto& connection : it->second) {
+        if (connection->number() == from.connection) {
+            connection->note_process(process);
+        }
+    }
+}
+
+bool http_client::has_idle(const common::endpoint& to, peer_process process) const {
+    const auto it = m_state->idle.find(to);
+    return it != m_state->idle.end() &&
+           std::any_of(it->second.begin(), it->second.end(),
+                       [&](const auto& connection) { return connection->is_usable(process); });
+}
+
 void http_client::close_idle(const common::endpoint& at) {
     close_idle_connections(*m_state, at);
 }
--- a/source/core/reactor/http_client.h
+++ b/source/core/reactor/http_client.h
@@ -3,8 +3,13 @@
 // timed out is closed, since a late response would be taken for that of the next request, and so
 // are the idle ones to the same address, which may have gone silent with it. So is one on which
 // more arrives than the response. Interim responses (1xx) are skipped.
+//
+// An address may lead to another process than before, when the peer has restarted. A connection
+// leads to one process for all its life, so that a request which must not reach another one can ask
+// for a connection that is known to lead to the right one.
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 
@@ -18,6 +23,16 @@
 // Why a request did not succeed, for logs.
 std::string describe(const common::result<http_response>& it);
 
+// A process at the other end of a connection, by a number that the client's user gives it.
+using peer_process = std::int64_t;
+constexpr peer_process any_process = 0;
+
+struct send_options {
+    bool new_connection = false; // do not reuse a pooled one
+    // Do not reuse a pooled one that is not known to lead to this process.
+    peer_process to_process = any_process;
+};
+
 class http_client {
 public:
     // The errors are those of common::error: unreachable (nothing was sent), timed_out,
@@ -32,9 +47,14 @@
     // Cancels the request by closing its connection; its callback is not called any more.
     using canceller = std::function<void()>;
 
-    // With `new_connection`, the request does not reuse a pooled connection.
+    // If no pooled connection is as the options ask, the request opens a new one.
     canceller send(const common::endpoint& to, http_request request, common::milliseconds timeout,
-                   callback done, bool new_connection = false);
+                   callback done, send_options options = {});
+
+    // To be called with a response: the connection that it came on leads to this process.
+    void note_process(const common::endpoint& at, const http_response& from, peer_process process);
+    // Whether a pooled connection that can be used is known to lead to the process.
+    bool has_idle(const common::endpoint& to, peer_process process) const;
 
     // Closes the pooled connections to an address that is no longer used.
     void close_idle(const common::endpoint& at);
--- a/source/core/reactor/http_types.h
+++ b/source/core/reactor/http_types.h
@@ -1,6 +1,7 @@
 // HTTP/1.1 requests and responses as plain values.
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <utility>
 #include <vector>
@@ -28,6 +29,7 @@
     std::vector<header> headers;
     std::string body;
     std::string content_type = "application/json";
+    std::uint64_t connection = 0; // of a response received: identifies its connection at the client
 
     bool operator==(const http_response&) const = default;
 };
--- a/source/core/work/executor.h
+++ b/source/core/work/executor.h
@@ -87,6 +87,7 @@
     insufficient_resources, // the free resources do not cover the task
     malformed,
     wrong_executor, // another executor answers at the address
+    other_process,  // another process of the executor answers; the order was not sent to it
     unhealthy,
     no_answer,          // unknown: the order may still be carried out
     connection_lost,    // likewise: the connection ended before the answer
--- a/source/unit_tests/cell/simulated_cell.cpp
+++ b/source/unit_tests/cell/simulated_cell.cpp
@@ -240,7 +240,11 @@
     send(
         at, limits().order_timeout,
         [this, id = at.id, order, job](simulated_executor& it) -> std::function<void()> {
-            const auto reply = it.start(order, m_cell.actual_run(job, order.run.task));
+            const bool is_other_process =
+                order.process != 0 && order.process != it.current_report().start_time_ms;
+            const auto reply = is_other_process
+                                   ? work::order_reply{work::order_status::other_process, {}}
+                                   : it.start(order, m_cell.actual_run(job, order.run.task));
             const bool has_started = reply.status == work::order_status::accepted;
             m_cell.starts += has_started ? 1 : 0;
             if (has_started && m_cell.m_budget.note_start(order.run.task)) {
--- a/source/unit_tests/reactor/http_test.cpp
+++ b/source/unit_tests/reactor/http_test.cpp
@@ -129,6 +129,40 @@
 
 INSTANTIATE_TEST_SUITE_P(numbers, http_idle, testing::Values(1, 4, 16));
 
+// Guards against a request for one process that reaches the next one at its address.
+TEST_F(http, reuses_only_connections_that_lead_to_the_process_asked_for) {
+    constexpr peer_process known = 1;
+    std::vector<std::uint64_t> used;
+    const auto request = [&](send_options options, peer_process answers) {
+        http_request it;
+        it.target = "/t";
+        m_client.send(
+            address, it, milliseconds(500),
+            [&used, answers, this](const auto& answer) {
+                used.push_back(answer.value().connection);
+                m_client.note_process(address, answer.value(), answers);
+            },
+            options);
+    };
+    request({}, any_process);
+    m_loop.after(milliseconds(30), [&] {
+        EXPECT_TRUE(m_client.has_idle(address, any_process));
+        EXPECT_FALSE(m_client.has_idle(address, known));
+        request({.to_process = known}, known);
+    });
+    m_loop.after(milliseconds(60), [&] {
+        EXPECT_TRUE(m_client.has_idle(address, known));
+        EXPECT_FALSE(m_client.has_idle(address, known + 1));
+        request({.to_process = known}, known);
+    });
+    m_loop.after(milliseconds(90), [&] { m_server.close_connections(); });
+    run_for(milliseconds(120));
+    ASSERT_EQ(used.size(), 3U);
+    EXPECT_NE(used[1], used[0]);
+    EXPECT_EQ(used[2], used[1]);
+    EXPECT_FALSE(m_client.has_idle(address, any_process));
+}
+
 TEST_F(http, notifies_the_server_when_a_caller_disconnects) {
     m_replies_at_once = false;
     bool is_disconnected = false;
