An unanswered start is repeated only where a task may start

Callers may see: a task starts on an executor that reports that it drains, that the platform lists no more, or that is listed as another process. Cause: the repeat of a start order asked for the claim, the reports and the drained domains, but not for what the list says of the executor; the first order asks all of it in executor_record. Change: what rules out any order to start is one function, obstacle_to_orders(), which the first order and the repeat ask.

--- a/source/core/cell/executor_manager.cpp
+++ b/source/core/cell/executor_manager.cpp
@@ -159,9 +159,8 @@
 }
 
 bool executor_manager::may_resend_start(const executor_record& it, const run_record& run) const {
-    return run.state == run_state::starting && run.starts_sent == 1 && !it.is_unresponsive() &&
-           !was_suspended() && !m_stalls.is_catching_up() && it.state == claim_state::held &&
-           !it.is_drained;
+    return run.state == run_state::starting && run.starts_sent == 1 && can_start_runs() &&
+           it.obstacle_to_orders() == work_obstacle::none && !it.is_drained;
 }
 
 void executor_manager::resend_start(executor_record& it, const work::run_key& key,
--- a/source/core/cell/executor_record.h
+++ b/source/core/cell/executor_record.h
@@ -156,7 +156,8 @@
             return it.second.ends_by && *it.second.ends_by < time;
         });
     }
-    work_obstacle obstacle_to_work(common::time_point now) const {
+    // What rules out any start order, also the repeat of one that was not answered.
+    work_obstacle obstacle_to_orders() const {
         if (state != claim_state::held) {
             return work_obstacle::not_claimed;
         }
@@ -169,6 +170,12 @@
         if (is_listed_as_other_process()) {
             return work_obstacle::other_process;
         }
+        return work_obstacle::none;
+    }
+    work_obstacle obstacle_to_work(common::time_point now) const {
+        if (const auto it = obstacle_to_orders(); it != work_obstacle::none) {
+            return it;
+        }
         if (now < resources_exhausted_until) {
             return work_obstacle::rejected_start;
         }
