A start order is repeated to the process that it was first sent to

Callers saw: a task that requires a kind of machine ran on an executor of another kind, when the executor had restarted while the first order was unanswered, and its new row had been read before the repeat was due. Cause: the repeat was addressed to the process that answers now. The decision was made for the one before; that the list and the answers agree again says nothing of the run that was decided earlier. Change: a run keeps the process that it was to start on; its order is repeated only to that one, and otherwise stopped. Test: unanswered_starts_test, restarted_as_another_kind, failed before and passes; cells_test passes.

--- a/source/core/cell/executor_manager.cpp
+++ b/source/core/cell/executor_manager.cpp
@@ -136,6 +136,7 @@
     record.time_limit = plan.time_limit;
     record.expected = plan.expected;
     record.started_at = m_clock.now();
+    record.process = it->start_time_ms;
     if (is_isolated) {
         record.isolated_until = m_clock.now() + plan.isolated_for;
     }
@@ -159,7 +160,8 @@
 }
 
 bool executor_manager::may_resend_start(const executor_record& it, const run_record& run) const {
-    return run.state == run_state::starting && run.starts_sent == 1 && can_start_runs() &&
+    return run.state == run_state::starting && run.starts_sent == 1 &&
+           run.process == it.start_time_ms && can_start_runs() &&
            it.obstacle_to_orders() == work_obstacle::none && !it.is_drained;
 }
 
@@ -171,7 +173,7 @@
     order.payload = run.payload;
     order.until_ms = next_lease_end(it);
     order.fence = it.fence;
-    order.process = it.start_time_ms;
+    order.process = run.process;
     order.is_repeat = true;
     note_grant(it, order.until_ms);
     m_orders.start(it.info, order);
--- a/source/core/cell/executor_record.h
+++ b/source/core/cell/executor_record.h
@@ -29,7 +29,8 @@
     common::milliseconds expected{0};   // duration on this executor; 0 when unknown
     run_state state = run_state::starting;
     common::time_point started_at;
-    int starts_sent = 1; // 2 after a resend
+    std::int64_t process = 0; // the executor's process that it was to start on, as `start_time_ms`
+    int starts_sent = 1;      // 2 after a resend
     int starts_unanswered = 0;
     // The process whose clock is known has confirmed its only start order, so that no other process
     // of the executor can have it.
