Tests of executors that drain while connections to the store fail; tests ask which entries read the store

Cause of the weak tests of CONFIG: they took the entries 0 and 1 for those that read the store, which follows from addresses that differ from run to run, so that passed what was to fail it.

--- a/source/integration_tests/platform_drains_test.cpp
+++ b/source/integration_tests/platform_drains_test.cpp
@@ -3,7 +3,6 @@
 #include <csignal>
 #include <functional>
 #include <gtest/gtest.h>
-#include <httplib.h>
 #include <thread>
 
 #include "integration_tests/platform_fleet.h"
@@ -40,10 +39,9 @@
 
     // Whether the entry's metrics tell an operator that domain "b" is empty.
     bool shows_an_empty_domain(int entry) const {
-        constexpr int metrics_port = 9464;
-        const auto answer = httplib::Client(m_fleet.host(entry), metrics_port).Get("/metrics");
-        return answer && answer->body.find("\nsavory_drained_domains 1\n") != std::string::npos &&
-               answer->body.find("\nsavory_drained_runs 0\n") != std::string::npos;
+        const auto text = m_fleet.metrics(entry);
+        return text.find("\nsavory_drained_domains 1\n") != std::string::npos &&
+               text.find("\nsavory_drained_runs 0\n") != std::string::npos;
     }
 
     // Sends jobs to both entries until `end`; returns how many were served, and expects all to be.
--- a/source/integration_tests/platform_entries_test.cpp
+++ b/source/integration_tests/platform_entries_test.cpp
@@ -98,13 +98,12 @@
     platform.write_executor_row("odd-4", "\xff\xfe");
     platform.write_executor_row(platform.executor_id(0), nested);
     const auto held = [&] {
-        constexpr int metrics_port = 9464;
         double sum = 0;
         for (int i = 0; i < m_fleet.size(); i++) {
-            const auto answer = httplib::Client(m_fleet.host(i), metrics_port).Get("/metrics");
+            const auto text = m_fleet.metrics(i);
             const std::string name = "\nsavory_cell_executors ";
-            const auto at = answer ? answer->body.find(name) : std::string::npos;
-            sum += at == std::string::npos ? 0 : std::stod(answer->body.substr(at + name.size()));
+            const auto at = text.find(name);
+            sum += at == std::string::npos ? 0 : std::stod(text.substr(at + name.size()));
         }
         return sum;
     };
--- a/source/integration_tests/platform_fleet.cpp
+++ b/source/integration_tests/platform_fleet.cpp
@@ -26,7 +26,9 @@
                   m_plan.executors,
                   m_plan.executor_kinds,
                   {64000, 131072, 0},
-                  m_plan.longest_lease}),
+                  m_plan.longest_lease,
+                  m_plan.store_answer_time,
+                  m_plan.heartbeat}),
       m_folder(std::filesystem::temp_directory_path() / ("savory-" + m_network)),
       m_entries(m_plan.entries) {
     std::filesystem::create_directories(m_folder);
@@ -171,6 +173,12 @@
     return answer ? answer->status : 0;
 }
 
+std::string platform_fleet::metrics(int entry) const {
+    constexpr int metrics_port = 9464;
+    const auto answer = httplib::Client(host(entry), metrics_port).Get("/metrics");
+    return answer ? answer->body : "";
+}
+
 int platform_fleet::cancel(int entry, const std::string& id) const {
     httplib::Client client(host(entry), caller_port);
     client.set_connection_timeout(1, 0);
--- a/source/integration_tests/platform_fleet.h
+++ b/source/integration_tests/platform_fleet.h
@@ -31,6 +31,8 @@
         // Routes the entries' traffic to each other, to executors and to the store through proxies.
         bool with_links = false;
         common::milliseconds longest_lease{1000}; // the longest lease that executors grant
+        common::milliseconds store_answer_time{0};
+        common::milliseconds heartbeat{0}; // between writes of an executor's row; 0: written once
     };
 
     explicit platform_fleet(plan fleet_plan);
@@ -81,6 +83,8 @@
     // Asks whether there is a queue at the prefix. Returns the HTTP status; 0 if no response
     // arrived.
     int ask(int entry, const std::string& prefix, common::milliseconds timeout) const;
+    // The entry's metrics, as text; empty if it does not answer.
+    std::string metrics(int entry) const;
     // Sends a DELETE of the job. Returns the HTTP status; 0 if no response arrived.
     int cancel(int entry, const std::string& id) const;
     // Makes the entry lose power: its callers' connections break, while all that it sends to other
--- a/source/stand_ins/users_platform/emulator.cpp
+++ b/source/stand_ins/users_platform/emulator.cpp
@@ -36,6 +36,18 @@
             crashes_after};
 }
 
+// With milliseconds, to compare with the entries' logs.
+std::string time_of_day() {
+    const auto now = std::chrono::system_clock::now();
+    const auto seconds = std::chrono::system_clock::to_time_t(now);
+    std::tm parts{};
+    gmtime_r(&seconds, &parts);
+    const auto ms = std::chrono::duration_cast<milliseconds>(now.time_since_epoch()).count() % 1000;
+    std::ostringstream text;
+    text << std::put_time(&parts, "%T") << '.' << std::setw(3) << std::setfill('0') << ms;
+    return text.str();
+}
+
 // Empty if the payload names none.
 std::string required_label(const std::string& payload) {
     constexpr std::string_view marker = " on ";
@@ -74,6 +86,7 @@
     std::int64_t registered_start_ms = 0; // of the process that its row tells of
     std::int64_t serving_start_ms = 0;    // of the process that the connections lead to
     std::uint64_t starts = 0;
+    std::optional<common::time_point> latest_start = std::nullopt; // set while it drains
 };
 
 emulator::emulator(options its_options) : m_options(std::move(its_options)) {}
@@ -111,6 +124,9 @@
         m_executors.push_back(std::move(host));
     }
     m_loop.every(milliseconds(1), [this] { advance(); });
+    if (m_options.heartbeat.count() > 0) {
+        m_loop.every(m_options.heartbeat / m_options.executors, [this] { write_heartbeats(); });
+    }
     m_thread = std::thread([this] { m_loop.run(); });
 }
 
@@ -122,9 +138,19 @@
     host.server->listen(executor(host.number)).value();
 }
 
+// Of one executor after the other.
+void emulator::write_heartbeats() {
+    const std::lock_guard lock(m_mutex);
+    auto& host = *m_executors.at(m_heartbeats++ % m_executors.size());
+    if (!host.simulated.is_down()) {
+        register_executor(host);
+    }
+}
+
 void emulator::follow_process(executor_host& host) {
     const auto start_ms = host.simulated.current_report().start_time_ms;
     if (host.serving_start_ms != start_ms && host.server != nullptr) {
+        host.latest_start.reset();
         host.server->close_connections();
         host.server = nullptr;
     }
@@ -369,11 +395,24 @@
     put(names::operator_table, names::configuration_key, codec::encode_configuration(it));
 }
 
-void emulator::drain_executor(int i) {
+void emulator::drain_executor(int i, milliseconds bound) {
     const std::lock_guard lock(m_mutex);
     auto& host = *m_executors.at(i);
     host.simulated.set_draining(true);
     register_executor(host);
+    if (bound != milliseconds::max()) {
+        host.latest_start = now() + bound;
+    }
+}
+
+void emulator::excuse_until(common::time_point time) {
+    const std::lock_guard lock(m_mutex);
+    m_excused_until = std::max(m_excused_until, time);
+}
+
+std::vector<std::string> emulator::late_starts() {
+    const std::lock_guard lock(m_mutex);
+    return m_late_starts;
 }
 
 void emulator::write_executor_row(const std::string& id, const std::string& value) {
@@ -422,6 +461,10 @@
 }
 
 void emulator::serve_store(const reactor::http_request& request, const answer& to) {
+    m_loop.after(m_options.store_answer_time, [=, this] { answer_store_call(request, to); });
+}
+
+void emulator::answer_store_call(const reactor::http_request& request, const answer& to) {
     if (m_is_store_down) {
         to->send({503, {}, "", json_type});
         return;
@@ -510,10 +553,15 @@
     m_starts_in[info.failure_domain]++;
     m_started_jobs.insert(order.run.task.job);
     m_starts_beyond_budget += m_crash_budget.note_start(order.run.task) ? 1 : 0;
+    if (host.latest_start && now() > std::max(*host.latest_start, m_excused_until)) {
+        m_late_starts.push_back(time_of_day() + " " + order.run.task.job + " on " + info.id);
+    }
     const auto label = required_label(order.payload);
     if (!label.empty() && !info.has_label(label)) {
-        m_starts_without_label.push_back(order.run.task.job + " requires " + label + ", on " +
-                                         info.id);
+        m_starts_without_label.push_back(time_of_day() + " " + order.run.task.job + " run " +
+                                         std::to_string(order.run.number) + " requires " + label +
+                                         ", on " + info.id + " (" + info.labels.at(0) +
+                                         ", process " + std::to_string(info.start_time_ms) + ")");
     }
 }
 
--- a/source/stand_ins/users_platform/emulator.h
+++ b/source/stand_ins/users_platform/emulator.h
@@ -61,6 +61,8 @@
             kinds; // labels, assigned to the executors round-robin; may be empty
         work::resources capacity{64000, 131072, 0};
         common::milliseconds longest_lease{1000}; // the longest that executors grant
+        common::milliseconds store_answer_time{0};
+        common::milliseconds heartbeat{0}; // between writes of an executor's row; 0: written once
     };
 
     explicit emulator(options its_options);
@@ -83,8 +85,12 @@
     // Writes the row that drains a failure domain, or removes it.
     void drain(const std::string& domain, const std::string& value = "{}");
     void end_drain(const std::string& domain);
-    // Lets the executor report that it drains, and serve on.
-    void drain_executor(int i);
+    // Lets the executor report that it drains, and serve on. Starts there count as late from
+    // `bound` on, unless they are excused.
+    void drain_executor(int i, common::milliseconds bound = common::milliseconds::max());
+    // No start until then counts as late.
+    void excuse_until(common::time_point time);
+    std::vector<std::string> late_starts();
     // Writes a row of any content among those of the executors.
     void write_executor_row(const std::string& id, const std::string& value);
     std::string executor_id(int executor);
@@ -148,6 +154,7 @@
         return {m_options.network + "." + std::to_string(subnet) + "." + std::to_string(i + 1),
                 executor_port};
     }
+    void answer_store_call(const reactor::http_request& request, const answer& to);
     void serve_store(const reactor::http_request& request, const answer& to);
     void get_rows(const std::string& table, const answer& to);
     void wait_for_rows(const std::string& table, std::uint64_t after, common::time_point until,
@@ -160,6 +167,7 @@
     void wait_for_end(executor_host& host, common::time_point until, const answer& to);
     void register_executor(executor_host& host);
     void listen(executor_host& host);
+    void write_heartbeats();
     // Ends the connections of a process that has ended, and lets the next one serve when it is up.
     void follow_process(executor_host& host);
     void note_start(executor_host& host, const cell::start_order& order);
@@ -188,9 +196,12 @@
     std::uint64_t m_version = 0;
     std::vector<std::unique_ptr<executor_host>> m_executors;
     std::unique_ptr<reactor::http_server> m_store;
+    std::size_t m_heartbeats = 0; // written so far
     std::set<std::string> m_started_jobs;
     std::map<std::string, std::uint64_t> m_starts_in; // by domain
     std::vector<std::string> m_starts_without_label;
+    std::vector<std::string> m_late_starts; // on draining executors
+    common::time_point m_excused_until;
     std::vector<overlap> m_overlaps;
     std::vector<interference> m_interference;
     std::set<std::pair<work::run_key, work::run_key>> m_interfering_runs;
