--- a/source/integration_tests/platform_silence_soak_test.cpp
+++ b/source/integration_tests/platform_silence_soak_test.cpp
@@ -256,7 +256,9 @@
     }
 }
 
-INSTANTIATE_TEST_SUITE_P(seeds, soak_of_silence, testing::Values(1, 2, 3));
+// Seeds that CI runs. Each seed that has ever failed is added with a line on its cause.
+// 6, 27: the order to start was repeated to the next process of its executor, once that was listed.
+INSTANTIATE_TEST_SUITE_P(seeds, soak_of_silence, testing::Values(1, 6, 27));
 
 } // namespace
 } // namespace savorytrail
