--- a/source/core/cell/executor_record.h
+++ b/source/core/cell/executor_record.h
@@ -173,6 +173,7 @@
         }
         return work_obstacle::none;
     }
+    // What rules out a new run.
     work_obstacle obstacle_to_work(common::time_point now) const {
         if (const auto it = obstacle_to_orders(); it != work_obstacle::none) {
             return it;
--- a/source/core/reactor/http_client.h
+++ b/source/core/reactor/http_client.h
@@ -27,6 +27,7 @@
 using peer_process = std::int64_t;
 constexpr peer_process any_process = 0;
 
+// Which connection a request may take. If no pooled one is as asked, it opens a new one.
 struct send_options {
     bool new_connection = false; // do not reuse a pooled one
     // Do not reuse a pooled one that is not known to lead to this process.
@@ -47,7 +48,6 @@
     // Cancels the request by closing its connection; its callback is not called any more.
     using canceller = std::function<void()>;
 
-    // If no pooled connection is as the options ask, the request opens a new one.
     canceller send(const common::endpoint& to, http_request request, common::milliseconds timeout,
                    callback done, send_options options = {});
 
