--- a/source/integration_tests/platform_executor_drains_test.cpp
+++ b/source/integration_tests/platform_executor_drains_test.cpp
@@ -45,6 +45,7 @@
 
     std::vector<std::uint64_t> starts(const std::vector<int>& on) {
         std::vector<std::uint64_t> list;
+        list.reserve(on.size());
         for (const int i : on) {
             list.push_back(m_fleet.platform().starts_on(i));
         }
