--- a/source/integration_tests/platform_restart_test.cpp
+++ b/source/integration_tests/platform_restart_test.cpp
@@ -39,6 +39,7 @@
         constexpr int callers = 4;
         std::atomic<int> served = 0;
         std::vector<std::jthread> threads;
+        threads.reserve(callers);
         for (int i = 0; i < callers; i++) {
             threads.emplace_back([&] {
                 while (steady_clock::now() < end) {
