--- a/source/unit_tests/platform_adapter/executor_orders_test.cpp
+++ b/source/unit_tests/platform_adapter/executor_orders_test.cpp
@@ -14,7 +14,7 @@
 
 using common::milliseconds;
 
-const common::endpoint executor_address{"127.91.7.3", 18083};
+const common::endpoint executor_address{"127.91.7.23", 18093};
 constexpr milliseconds tick_period{20};
 
 // The process that answers is another one before the start, and nothing tells the entry.
