--- a/source/core/cell/executor_manager.cpp
+++ b/source/core/cell/executor_manager.cpp
@@ -147,18 +147,24 @@
         return false; // it would run on with the lease that others have there
     }
     it->used += plan.occupied;
-    it->runs.emplace(run, std::move(record));
-    start_order order;
-    order.run = run;
-    order.payload = plan.payload;
-    order.until_ms = next_lease_end(*it);
-    order.fence = it->fence;
-    order.process = it->start_time_ms;
-    note_grant(*it, order.until_ms);
-    m_orders.start(it->info, order);
+    const auto added = it->runs.emplace(run, std::move(record)).first;
+    send_start(*it, run, added->second);
     return true;
 }
 
+void executor_manager::send_start(executor_record& it, const work::run_key& key,
+                                  const run_record& run) {
+    start_order order;
+    order.run = key;
+    order.payload = run.payload;
+    order.until_ms = next_lease_end(it);
+    order.fence = it.fence;
+    order.process = run.process;
+    order.is_repeat = run.starts_sent > 1;
+    note_grant(it, order.until_ms);
+    m_orders.start(it.info, order);
+}
+
 bool executor_manager::may_resend_start(const executor_record& it, const run_record& run) const {
     return run.state == run_state::starting && run.starts_sent == 1 &&
            run.process == it.start_time_ms && can_start_runs() &&
@@ -168,15 +174,7 @@
 void executor_manager::resend_start(executor_record& it, const work::run_key& key,
                                     run_record& run) {
     run.starts_sent++;
-    start_order order;
-    order.run = key;
-    order.payload = run.payload;
-    order.until_ms = next_lease_end(it);
-    order.fence = it.fence;
-    order.process = run.process;
-    order.is_repeat = true;
-    note_grant(it, order.until_ms);
-    m_orders.start(it.info, order);
+    send_start(it, key, run);
 }
 
 void executor_manager::stop(const std::string& executor, const work::run_key& run,
--- a/source/core/cell/executor_manager.h
+++ b/source/core/cell/executor_manager.h
@@ -162,6 +162,7 @@
     void note_unanswered_stop(const executor_record& it, const work::run_key& key, run_record& run);
     // Nothing starts there until it has answered a report: its process may be another one.
     void distrust(executor_record& it);
+    void send_start(executor_record& it, const work::run_key& key, const run_record& run);
     bool may_resend_start(const executor_record& it, const run_record& run) const;
     void resend_start(executor_record& it, const work::run_key& key, run_record& run);
     void finish_run(executor_record& it, const work::run_key& key, const run_outcome& outcome);
