--- a/source/integration_tests/platform_configuration_test.cpp
+++ b/source/integration_tests/platform_configuration_test.cpp
@@ -17,21 +17,13 @@
 // The users' bound.
 constexpr milliseconds configuration_bound{2000};
 
-class configurations : public testing::TestWithParam<store_outage> {
+class configurations : public fleet_before_outage {
 protected:
+    configurations() : fleet_before_outage(executors) {}
+
     int ask(int entry, const std::string& prefix) const {
         return m_fleet.ask(entry, prefix, std::chrono::seconds(3));
     }
-
-    void SetUp() override {
-        for (int i = 0; i < m_fleet.size(); i++) {
-            ASSERT_TRUE(m_fleet.wait_until_serving(i));
-        }
-        // Until the entries have settled on who reads the store.
-        std::this_thread::sleep_for(milliseconds(4500));
-    }
-
-    platform_fleet m_fleet{GetParam().fleet(executors)};
 };
 
 // Guards against an added route that is refused with 404 later than the bound, as nobody who could
--- a/source/integration_tests/platform_executor_drains_test.cpp
+++ b/source/integration_tests/platform_executor_drains_test.cpp
@@ -18,15 +18,9 @@
 // The users' bound.
 constexpr milliseconds drain_bound{2000};
 
-class executor_drains : public testing::TestWithParam<store_outage> {
+class executor_drains : public fleet_before_outage {
 protected:
-    void SetUp() override {
-        for (int i = 0; i < m_fleet.size(); i++) {
-            ASSERT_TRUE(m_fleet.wait_until_serving(i));
-        }
-        // Until the entries have settled on who reads the store.
-        std::this_thread::sleep_for(milliseconds(4500));
-    }
+    executor_drains() : fleet_before_outage(executors) {}
 
     // Callers of all entries that have to act in time send jobs.
     void serve_until(steady_clock::time_point end) {
@@ -53,7 +47,6 @@
     }
 
     std::atomic<int> m_served = 0;
-    platform_fleet m_fleet{GetParam().fleet(executors)};
 };
 
 // Guards against tasks that start on draining executors later than the bound, as the entry that
--- a/source/integration_tests/platform_silence_soak_test.cpp
+++ b/source/integration_tests/platform_silence_soak_test.cpp
@@ -17,6 +17,7 @@
 #include <thread>
 
 #include "integration_tests/platform_fleet.h"
+#include "integration_tests/soak_parts.h"
 
 namespace savorytrail {
 namespace {
@@ -39,11 +40,6 @@
 // For the delays of this program and of the stand-ins.
 constexpr milliseconds margin{100};
 
-std::uint64_t setting(const char* name, std::uint64_t default_value) {
-    const char* text = std::getenv(name);
-    return text == nullptr ? default_value : std::strtoull(text, nullptr, 10);
-}
-
 class soak_of_silence : public testing::TestWithParam<std::uint64_t> {
 protected:
     int pick(int n) { return static_cast<int>(m_random() % static_cast<std::uint64_t>(n)); }
@@ -131,13 +127,6 @@
         excuse();
     }
 
-    void add_route() {
-        const std::lock_guard lock(m_routes_mutex);
-        m_prefixes.push_back("/added-" + std::to_string(m_prefixes.size()) + "/");
-        m_fleet.platform().configure(++m_version, m_prefixes);
-        m_added_at.push_back(steady_clock::now());
-    }
-
     void inject_fault() {
         switch (pick(12)) {
         case 0:
@@ -161,7 +150,7 @@
             disturb_entry();
             break;
         default:
-            add_route();
+            m_routes.add();
             break;
         }
     }
@@ -188,23 +177,15 @@
         }
     }
 
-    // The newest route that every entry has to know by now; empty if there is none.
-    std::string newest_due_route() {
-        const std::lock_guard lock(m_routes_mutex);
-        const auto now = steady_clock::now();
-        for (auto i = m_prefixes.size(); i > 0 && now > m_excused_until.load(); i--) {
-            if (m_added_at[i - 1] + configuration_bound + margin <= now) {
-                return m_prefixes[i - 1];
-            }
-        }
-        return "";
-    }
-
     void check_routes() {
         std::mt19937_64 random(m_seed);
         while (!m_is_stopping) {
             std::this_thread::sleep_for(milliseconds(20));
-            if (const auto prefix = newest_due_route(); !prefix.empty()) {
+            if (steady_clock::now() <= m_excused_until.load()) {
+                continue;
+            }
+            const auto prefix = m_routes.newest_due(configuration_bound + margin);
+            if (!prefix.empty()) {
                 const int status =
                     m_fleet.ask(static_cast<int>(random() % entries), prefix, milliseconds(1000));
                 m_routes_unknown += status == 404 ? 1 : 0;
@@ -212,7 +193,7 @@
         }
     }
 
-    const std::uint64_t m_seed = setting("SAVORY_SOAK_SEED", GetParam());
+    const std::uint64_t m_seed = soak_setting("SAVORY_SOAK_SEED", GetParam());
     std::mt19937_64 m_random{m_seed};
     platform_fleet m_fleet{{.entries = entries,
                             .executors = executors,
@@ -220,10 +201,7 @@
                             .executor_kinds = {"large", "large", "small", "small"},
                             .with_links = true,
                             .heartbeat = milliseconds(1500)}};
-    std::mutex m_routes_mutex;
-    std::uint64_t m_version = 2;         // of the configuration
-    std::vector<std::string> m_prefixes; // of the routes that were added
-    std::vector<steady_clock::time_point> m_added_at;
+    added_routes m_routes{m_fleet};
     std::atomic<steady_clock::time_point> m_excused_until{steady_clock::time_point()};
     std::atomic<bool> m_is_stopping = false;
     std::atomic<int> m_served = 0;
@@ -239,7 +217,7 @@
     for (int i = 0; i < callers; i++) {
         threads.emplace_back([this, i] { call(m_seed * callers + static_cast<unsigned>(i)); });
     }
-    inject_faults(steady_clock::now() + seconds(setting("SAVORY_SOAK_SECONDS", 12)));
+    inject_faults(steady_clock::now() + seconds(soak_setting("SAVORY_SOAK_SECONDS", 12)));
     m_is_stopping = true;
     for (auto& it : threads) {
         it.join();
--- a/source/integration_tests/platform_soak_test.cpp
+++ b/source/integration_tests/platform_soak_test.cpp
@@ -22,6 +22,7 @@
 #include <thread>
 
 #include "integration_tests/platform_fleet.h"
+#include "integration_tests/soak_parts.h"
 
 namespace savorytrail {
 namespace {
@@ -40,11 +41,6 @@
 constexpr milliseconds configuration_bound{2000};
 constexpr milliseconds time_between_questions{40};
 
-std::uint64_t setting(const char* name, std::uint64_t default_value) {
-    const char* text = std::getenv(name);
-    return text == nullptr ? default_value : std::strtoull(text, nullptr, 10);
-}
-
 struct soak_plan {
     platform_fleet::plan fleet;
     int callers = 6;
@@ -66,7 +62,7 @@
         : soak({.fleet = {
                     .entries = 4, .executors = 8, .domains = {"a", "b"}, .with_links = true}}) {}
     explicit soak(soak_plan its_plan)
-        : m_plan(std::move(its_plan)), m_seed(setting("SAVORY_SOAK_SEED", GetParam())),
+        : m_plan(std::move(its_plan)), m_seed(soak_setting("SAVORY_SOAK_SEED", GetParam())),
           m_random(m_seed) {}
 
     int pick(int n) { return static_cast<int>(m_random() % static_cast<std::uint64_t>(n)); }
@@ -145,34 +141,15 @@
         }
     }
 
-    // Adds a route, which no later configuration removes.
-    void add_route() {
-        const std::lock_guard lock(m_routes_mutex);
-        m_prefixes.push_back("/added-" + std::to_string(m_prefixes.size()) + "/");
-        m_fleet.platform().configure(++m_version, m_prefixes);
-        m_added_at.push_back(steady_clock::now());
-    }
-
-    // The newest route that every entry has to know by now; empty if there is none.
-    std::string newest_due_route() {
-        const std::lock_guard lock(m_routes_mutex);
-        for (auto i = m_prefixes.size(); i > 0; i--) {
-            if (m_added_at[i - 1] + configuration_bound <= steady_clock::now()) {
-                return m_prefixes[i - 1];
-            }
-        }
-        return "";
-    }
-
     // Adds routes from time to time, and asks entries whether they know them.
     void check_routes() {
         std::mt19937_64 random(m_seed);
         while (!m_is_stopping) {
             std::this_thread::sleep_for(time_between_questions);
             if (random() % 30 == 0) {
-                add_route();
+                m_routes.add();
             }
-            const auto prefix = newest_due_route();
+            const auto prefix = m_routes.newest_due(configuration_bound);
             if (prefix.empty()) {
                 continue;
             }
@@ -247,7 +224,7 @@
             inject_link_fault();
             break;
         case 13:
-            add_route();
+            m_routes.add();
             break;
         case 0:
             m_fleet.entry(entry).kill();
@@ -287,14 +264,17 @@
 
     void run();
 
+    void TearDown() override {
+        if (HasFailure()) {
+            m_fleet.save_logs("soak-" + std::to_string(m_seed));
+        }
+    }
+
     const soak_plan m_plan;
     const std::uint64_t m_seed;
     std::mt19937_64 m_random;
     platform_fleet m_fleet{m_plan.fleet};
-    std::mutex m_routes_mutex;
-    std::uint64_t m_version = 2;         // of the configuration
-    std::vector<std::string> m_prefixes; // of the routes that were added
-    std::vector<steady_clock::time_point> m_added_at;
+    added_routes m_routes{m_fleet};
     std::vector<std::atomic<std::int64_t>> m_paused_ms = // total by entry
         std::vector<std::atomic<std::int64_t>>(m_plan.fleet.entries);
     // By entry: without power, or stopping.
@@ -325,7 +305,7 @@
     for (int i = 0; i < m_plan.callers; i++) {
         threads.emplace_back([this, i] { call(m_seed * m_plan.callers + i); });
     }
-    inject_faults(steady_clock::now() + seconds(setting("SAVORY_SOAK_SECONDS", 10)));
+    inject_faults(steady_clock::now() + seconds(soak_setting("SAVORY_SOAK_SECONDS", 10)));
     m_is_stopping = true;
     m_fleet.links().clear_faults();
     for (auto& it : threads) {
@@ -339,9 +319,6 @@
     EXPECT_GT(m_served, 0) << "seed " << m_seed;
     EXPECT_EQ(m_routes_unknown, 0) << "seed " << m_seed;
     EXPECT_GT(m_routes_known, 0) << "seed " << m_seed;
-    if (HasFailure()) {
-        m_fleet.save_logs("soak-" + std::to_string(m_seed));
-    }
 }
 
 TEST_P(soak, keeps_the_promises) {
@@ -463,7 +440,7 @@
             later(pick_time(), [this] { m_fleet.platform().set_store_down(false); });
             break;
         case 12:
-            add_route();
+            m_routes.add();
             break;
         default:
             misuse_stop_orders();
--- a/source/integration_tests/store_outages.h
+++ b/source/integration_tests/store_outages.h
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <functional>
+#include <gtest/gtest.h>
 #include <ostream>
 #include <string>
 #include <thread>
@@ -39,6 +40,21 @@
     }
 };
 
+// A fleet whose entries have settled on who reads the store.
+class fleet_before_outage : public testing::TestWithParam<store_outage> {
+protected:
+    explicit fleet_before_outage(int executors) : m_fleet(GetParam().fleet(executors)) {}
+
+    void SetUp() override {
+        for (int i = 0; i < m_fleet.size(); i++) {
+            ASSERT_TRUE(m_fleet.wait_until_serving(i));
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(4500));
+    }
+
+    platform_fleet m_fleet;
+};
+
 // The entries that read the store for the others of their domains, as their metrics tell.
 inline std::vector<int> store_readers(const platform_fleet& fleet) {
     std::vector<int> readers;
