--- a/review/stand-ins-2/cancelled_job.cpp
+++ b/review/stand-ins-2/cancelled_job.cpp
@@ -1,4 +1,4 @@
-// Case 6: a job is cancelled, and the cancelling is acknowledged. One entry process is killed and
+// Case 7: a job is cancelled, and the cancelling is acknowledged. One entry process is killed and
 // starts again. The request that submitted the job arrives once more, there, seconds later.
 #include "platform.h"
 
--- a/review/stand-ins-2/cut_off_entry.cpp
+++ b/review/stand-ins-2/cut_off_entry.cpp
@@ -1,4 +1,4 @@
-// Case 7: an entry is cut off from the others while it runs a job. The job is cancelled at another
+// Case 8: an entry is cut off from the others while it runs a job. The job is cancelled at another
 // entry, which acknowledges it.
 #include "platform.h"
 
--- a/review/stand-ins-2/dropped_queue.cpp
+++ b/review/stand-ins-2/dropped_queue.cpp
@@ -1,4 +1,4 @@
-// Case 8: a job runs, the operator drops its queue, and the client cancels the job.
+// Case 9: a job runs, the operator drops its queue, and the client cancels the job.
 #include "platform.h"
 
 using namespace review;
--- a/review/stand-ins-2/platform.h
+++ b/review/stand-ins-2/platform.h
@@ -804,6 +804,23 @@
         it.pid = 0;
         record::line("entry " + it.name + " has ended (signal " + std::to_string(signal) + ")");
     }
+    // Whether the entry's process has ended by itself since it was started, or this was last asked.
+    bool has_ended_by_itself(std::size_t i) {
+        auto& it = m_entries.at(i);
+        int status = 0;
+        if (it.pid == 0 || ::waitpid(it.pid, &status, WNOHANG) != it.pid) {
+            return false;
+        }
+        {
+            std::lock_guard lock(processes_mutex());
+            processes().erase(it.pid);
+        }
+        it.pid = 0;
+        record::line("entry " + it.name + " has ended by itself, " +
+                     (WIFSIGNALED(status) ? "signal " + std::to_string(WTERMSIG(status))
+                                          : "exit status " + std::to_string(WEXITSTATUS(status))));
+        return true;
+    }
     void cut_off(std::size_t i, bool is_cut) {
         for (auto& [ends, it] : m_links) {
             if (ends.first == i || ends.second == i) {
@@ -830,7 +847,10 @@
             request.body = body;
         }
         if (is_logged) {
-            record::line("client to " + at(i).name + ": " + method + " " + path + " " + body);
+            record::line("client to " + at(i).name + ": " + method + " " + path + " " +
+                         (body.size() > 2000 ? body.substr(0, 60) + "... (" +
+                                                   std::to_string(body.size()) + " bytes)"
+                                             : body));
         }
         const auto result = client.send(request);
         const reply it =
