review: the cases take networks that the project's tests leave free

Case 8 could not run (exit status 2) twice, beside the tests and beside a soak: an address was in use.

--- a/review/stand-ins-2/platform.h
+++ b/review/stand-ins-2/platform.h
@@ -916,10 +916,11 @@
     }
 
 private:
-    // A network 127.N that no other case uses at the same time: each holds a socket there.
+    // A network 127.N that no other case uses at the same time: each holds a socket there. The
+    // project's tests use 127.100 to 127.199.
     static std::string free_network() {
-        for (int i = 0; i < 200; i++) {
-            const auto network = "127." + std::to_string(20 + (getpid() + i) % 200);
+        for (int i = 0; i < 80; i++) {
+            const auto network = "127." + std::to_string(20 + (getpid() + i) % 80);
             const int fd = ::socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
             sockaddr_in at{};
             at.sin_family = AF_INET;
