--- /dev/null
+++ b/review/stand-ins-3/cases.cpp
@@ -0,0 +1,196 @@
+#include "cases.h"
+
+#include <csignal>
+#include <cstdlib>
+#include <future>
+#include <vector>
+
+#include "fleet.h"
+
+namespace review {
+namespace {
+
+// Bounds of the small deployments.
+constexpr milliseconds cancel_bound{3000};  // cancel_ms
+constexpr milliseconds contact_bound{3000}; // contactMs
+// Of the sightings of runs, which are looked for every few milliseconds.
+constexpr milliseconds slack{200};
+constexpr milliseconds steady_state{5000}; // before the first job, so that nothing of the start is left
+
+enum verdict { held = 0, broken = 1, could_not_run = 2 };
+
+bool has_trouble() {
+    const char* it = std::getenv("TROUBLE");
+    return it == nullptr || std::string(it) != "0";
+}
+
+void pause(milliseconds time) {
+    std::this_thread::sleep_for(time);
+}
+
+std::string job_id(unsigned number) {
+    char text[17];
+    std::snprintf(text, sizeof text, "5c0e7a21%08x", number);
+    return text;
+}
+
+std::string text_of(const answer& it) {
+    return it.status == 0 ? "no response" : std::to_string(it.status) + " " + it.body;
+}
+
+bool is_acknowledged(const answer& it) {
+    return it.status == 410 || (it.status >= 200 && it.status < 300);
+}
+
+std::future<answer> post(record& log, const fleet& at, int entry, const std::string& id, int steps, int task_ms) {
+    constexpr milliseconds deadline{30000};
+    log.line("client: POST " + id + " (" + std::to_string(steps) + " steps of " + std::to_string(task_ms) +
+             " ms) to " + at.name(entry));
+    return std::async(std::launch::async, [&log, &at, entry, id, steps, task_ms] {
+        const auto it = at.post(entry, id, steps, task_ms, deadline);
+        log.line("client: POST " + id + " at " + at.name(entry) + " answered " + text_of(it));
+        return it;
+    });
+}
+
+answer cancel(record& log, const fleet& at, int entry, const std::string& id) {
+    const auto it = at.cancel(entry, id);
+    log.line("client: DELETE " + id + " at " + at.name(entry) + " answered " + text_of(it));
+    return it;
+}
+
+// Whether a task of the job was at work so much later than `limit` that it must have started after it.
+bool has_started_after(fleet& at, const std::string& id, milliseconds limit, int task_ms) {
+    for (const auto& it : at.sightings(id)) {
+        if (it.at > limit + milliseconds(task_ms) + slack) {
+            return true;
+        }
+    }
+    return false;
+}
+
+verdict report(record& log, bool is_broken, const std::string& what) {
+    log.line((is_broken ? "UNASKED is broken: " : "UNASKED holds: ") + what);
+    return is_broken ? broken : held;
+}
+
+} // namespace
+
+int cancel_while_cut(record& log) {
+    constexpr int steps = 16;
+    constexpr int task_ms = 1000;
+    constexpr milliseconds cut_time{5500};
+    fleet it(log, {"a", "a", "b", "b", "c", "c"}, 12, true);
+    if (!it.wait_until_serving()) {
+        return could_not_run;
+    }
+    pause(steady_state);
+    const auto id = job_id(1);
+    it.watch(id);
+    auto posted = post(log, it, 0, id, steps, task_ms);
+    pause(milliseconds(500));
+    if (has_trouble()) {
+        log.line("trouble: " + it.name(0) + " is cut off from all other entries");
+        it.set_entry_cut(0, true);
+    }
+    pause(milliseconds(3000));
+    const auto cancelled = cancel(log, it, 1, id);
+    const auto acknowledged = log.time();
+    pause(cut_time - milliseconds(3000));
+    if (has_trouble()) {
+        it.set_entry_cut(0, false);
+        log.line("trouble: the cut is over");
+    }
+    const auto calm = log.time();
+    if (!is_acknowledged(cancelled)) {
+        return report(log, false, "the DELETE was not acknowledged");
+    }
+    const auto limit = std::max(acknowledged + cancel_bound, calm + contact_bound);
+    pause(limit + milliseconds(task_ms) + 2 * slack + milliseconds(3000) - log.time());
+    return report(log, has_started_after(it, id, limit, task_ms),
+                  "tasks of the cancelled job that started later than " + std::to_string(limit.count()) + " ms");
+}
+
+int late_resend_after_restart(record& log) {
+    constexpr int task_ms = 1500;
+    fleet it(log, {"a", "a", "b", "b", "c", "c"}, 12, false);
+    if (!it.wait_until_serving()) {
+        return could_not_run;
+    }
+    pause(steady_state);
+    const auto id = job_id(1);
+    it.watch(id);
+    auto posted = post(log, it, 1, id, 2, task_ms);
+    pause(milliseconds(500));
+    if (!is_acknowledged(cancel(log, it, 0, id))) {
+        return could_not_run;
+    }
+    const auto acknowledged = log.time();
+    if (posted.get().status != 200) {
+        return could_not_run;
+    }
+    if (has_trouble()) {
+        log.line("trouble: SIGTERM to " + it.name(1));
+        it.process(1).send_signal(SIGTERM);
+        if (!it.process(1).wait_for_exit(milliseconds(6000))) {
+            return could_not_run;
+        }
+        it.start(1);
+        log.line("trouble: " + it.name(1) + " has exited and starts again");
+    } else {
+        pause(milliseconds(2600));
+    }
+    pause(contact_bound + milliseconds(700));
+    if (!it.is_ready(1)) {
+        return could_not_run;
+    }
+    const auto repeated_at = log.time();
+    auto repeated = post(log, it, 1, id, 2, task_ms);
+    pause(milliseconds(4000));
+    return report(log, has_started_after(it, id, std::max(acknowledged + cancel_bound, repeated_at), 0),
+                  "tasks of the cancelled job that started later than " +
+                      std::to_string((acknowledged + cancel_bound).count()) + " ms");
+}
+
+int late_resend_elsewhere(record& log) {
+    constexpr int task_ms = 1000;
+    constexpr int zone_entry = 7; // takes the jobs
+    constexpr int other_entry = 6;
+    fleet it(log, {"a", "a", "a", "b", "b", "b", "c", "c"}, 12, false);
+    if (!it.wait_until_serving()) {
+        return could_not_run;
+    }
+    pause(steady_state);
+    std::vector<std::future<answer>> answers;
+    for (int i = 0; i < it.size(); i++) {
+        it.watch(job_id(i));
+        answers.push_back(post(log, it, zone_entry, job_id(i), 1, task_ms));
+    }
+    pause(milliseconds(400));
+    for (int i = 0; i < it.size(); i++) {
+        if (!is_acknowledged(cancel(log, it, other_entry, job_id(i)))) {
+            return could_not_run;
+        }
+    }
+    const auto acknowledged = log.time();
+    pause(cancel_bound + milliseconds(1500));
+    const auto repeated_at = log.time();
+    for (int i = 0; i < it.size(); i++) {
+        // Without the trouble, the request comes back to the zone that it was sent to.
+        if (has_trouble() || it.zone(i) == it.zone(zone_entry)) {
+            answers.push_back(post(log, it, i, job_id(i), 1, task_ms));
+        }
+    }
+    pause(milliseconds(2500));
+    std::string where;
+    for (int i = 0; i < it.size(); i++) {
+        if (has_started_after(it, job_id(i), std::max(acknowledged + cancel_bound, repeated_at), 0)) {
+            where += " " + it.name(i);
+        }
+    }
+    return report(log, !where.empty(),
+                  "entries that ran a cancelled job when its POST arrived there once more:" +
+                      (where.empty() ? " none" : where));
+}
+
+} // namespace review
