--- a/review/stand-ins-3/cases.cpp
+++ b/review/stand-ins-3/cases.cpp
@@ -193,4 +193,44 @@
                       (where.empty() ? " none" : where));
 }
 
+
+int malformed_bodies(record& log) {
+    constexpr int ends_that_count = 3;
+    constexpr int machines_that_count = 2;
+    constexpr std::size_t body_size = 262'144; // what the entry accepts
+    fleet it(log, {"a", "a", "b", "b", "c", "c"}, 12, false);
+    if (!it.wait_until_serving()) {
+        return could_not_run;
+    }
+    pause(steady_state);
+    const std::string before = R"({"spec":"27000 10","bestEffort":true,"steps":[{"count":1,"cpu":27000,"memMb":64,)"
+                               R"("estimateMs":10,"after":)";
+    const std::string after = "}]}";
+    const auto depth = has_trouble() ? (body_size - before.size() - after.size()) / 2 : 1;
+    const auto body = before + std::string(depth, '[') + std::string(depth, ']') + after;
+    std::vector<int> ends(it.size());
+    for (int round = 0; round < ends_that_count; round++) {
+        for (int entry = 0; entry < machines_that_count; entry++) {
+            const auto id = job_id(round * machines_that_count + entry);
+            const auto answered = it.post_body(entry, id, body, milliseconds(1500));
+            log.line("client: POST " + id + " at " + it.name(entry) + " with a body of " + std::to_string(body.size()) +
+                     " bytes whose \"after\" is a list in lists, " + std::to_string(depth) + " deep, answered " +
+                     text_of(answered));
+            if (const auto code = it.process(entry).wait_for_exit(milliseconds(1500))) {
+                log.line(it.name(entry) + " has ended by itself, exit code " + std::to_string(*code));
+                ends[entry]++;
+                it.start(entry);
+            }
+        }
+        pause(milliseconds(2500));
+    }
+    int machines = 0;
+    for (const int n : ends) {
+        machines += n >= ends_that_count ? 1 : 0;
+    }
+    log.line(std::string("Fault is ") + (machines >= machines_that_count ? "broken: " : "kept: ") +
+             std::to_string(machines) + " machines on which a process ended by itself three times");
+    return machines >= machines_that_count ? broken : held;
+}
+
 } // namespace review
--- a/review/stand-ins-3/fleet.cpp
+++ b/review/stand-ins-3/fleet.cpp
@@ -174,6 +174,10 @@
                 (i == 0 ? "}" : R"(,"after":[)" + std::to_string(i - 1) + "]}");
     }
     body += "]}";
+    return post_body(entry, id, body, deadline);
+}
+
+answer fleet::post_body(int entry, const std::string& id, const std::string& body, milliseconds deadline) const {
     httplib::Client client(host(entry), caller_port);
     client.set_connection_timeout(1, 0);
     client.set_read_timeout(deadline);
--- a/review/stand-ins-3/fleet.h
+++ b/review/stand-ins-3/fleet.h
@@ -73,6 +73,8 @@
 
     // A job of `steps` tasks, one after the other, of `task_ms` each.
     answer post(int entry, const std::string& id, int steps, int task_ms, milliseconds deadline) const;
+    // A job with any body.
+    answer post_body(int entry, const std::string& id, const std::string& body, milliseconds deadline) const;
     answer cancel(int entry, const std::string& id) const;
 
     // From now on, notes when tasks of the job run.
