--- a/review/stand-ins-3/cases.cpp
+++ b/review/stand-ins-3/cases.cpp
@@ -1,8 +1,11 @@
 #include "cases.h"
 
+#include <atomic>
 #include <csignal>
 #include <cstdlib>
 #include <future>
+#include <httplib.h>
+#include <nlohmann/json.hpp>
 #include <vector>
 
 #include "fleet.h"
@@ -194,6 +197,65 @@
 }
 
 
+int malformed_answers(record& log) {
+    constexpr int ends_that_count = 3;
+    constexpr int machines_that_count = 2;
+    constexpr int odd_port = 8080;
+    constexpr milliseconds restart_delay{500};
+    constexpr milliseconds length{20000};
+    fleet it(log, {"a", "a", "b", "b", "c", "c"}, 12, false);
+    if (!it.wait_until_serving()) {
+        return could_not_run;
+    }
+    pause(steady_state);
+    // An executor that answers each call as its protocol says, with one field more, which is a list in lists.
+    const int depth = has_trouble() ? 500'000 : 1;
+    const auto answer_text = R"({"clockMs":1000,"born":7,"running":[],"ended":[],"note":)" + std::string(depth, '[') +
+                             std::string(depth, ']') + "}";
+    std::atomic<int> calls = 0;
+    httplib::Server odd;
+    odd.Post(R"(/-/.*)", [&](const httplib::Request& request, httplib::Response& response) {
+        if (calls++ < 100) {
+            log.line("odd executor: answers " + request.path + " with " + std::to_string(answer_text.size()) + " bytes");
+        }
+        const auto body = nlohmann::json::parse(request.body, nullptr, false);
+        pause(milliseconds(body.is_object() ? body.value("waitMs", 0) : 0)); // no run ends meanwhile
+        response.set_content(answer_text, "application/json");
+    });
+    if (!odd.bind_to_port(it.address(9), odd_port)) {
+        return could_not_run;
+    }
+    std::thread server([&] { odd.listen_after_bind(); });
+    it.platform().write_executor_row(
+        "i-odd", R"({"service":"upstream","zone":"a","address":")" + it.address(9) + ":" + std::to_string(odd_port) +
+                     R"(","state":"ready","born":7,"coldLeftMs":0,"capacity":{"cpu":64000,"memMb":131072,"gpu":0},)"
+                     R"("labels":[]})");
+    log.line("the odd executor is listed in zone a");
+    std::vector<int> ends(it.size());
+    const auto end = log.time() + length;
+    while (log.time() < end) {
+        for (int entry = 0; entry < it.size(); entry++) {
+            if (const auto code = it.process(entry).wait_for_exit(milliseconds(0))) {
+                log.line(it.name(entry) + " has ended by itself, exit code " + std::to_string(*code));
+                ends[entry]++;
+                pause(restart_delay);
+                it.start(entry);
+            }
+        }
+        pause(milliseconds(20));
+    }
+    odd.stop();
+    server.join();
+    int machines = 0;
+    for (int entry = 0; entry < it.size(); entry++) {
+        log.line(it.name(entry) + " ended by itself " + std::to_string(ends[entry]) + " times");
+        machines += ends[entry] >= ends_that_count ? 1 : 0;
+    }
+    log.line(std::string("Fault is ") + (machines >= machines_that_count ? "broken: " : "kept: ") +
+             std::to_string(machines) + " machines on which a process ended by itself three times");
+    return machines >= machines_that_count ? broken : held;
+}
+
 int malformed_bodies(record& log) {
     constexpr int ends_that_count = 3;
     constexpr int machines_that_count = 2;
--- a/review/stand-ins-3/cases.h
+++ b/review/stand-ins-3/cases.h
@@ -12,6 +12,8 @@
 int late_resend_after_restart(record& log);
 // The POST of a cancelled job arrives once more, at an entry of another zone.
 int late_resend_elsewhere(record& log);
+// An executor answers with an unknown field that is nested deeply.
+int malformed_answers(record& log);
 // A client sends a malformed job.
 int malformed_bodies(record& log);
 
--- a/review/stand-ins-3/fleet.h
+++ b/review/stand-ins-3/fleet.h
@@ -61,6 +61,9 @@
     savorytrail::stand_ins::emulator& platform() { return m_platform; }
     savorytrail::platform_links& links() { return *m_links; }
 
+    // A loopback address of this deployment that nothing else uses.
+    std::string address(int subnet) const { return m_network + "." + std::to_string(subnet) + ".1"; }
+
     void start(int entry);
     savorytrail::stand_ins::process& process(int entry) { return *m_processes.at(entry); }
     // Until all are ready and have completed a job; false after 15 seconds.
