--- a/review/stand-ins-3/cases.cpp
+++ b/review/stand-ins-3/cases.cpp
@@ -14,8 +14,7 @@
 namespace {
 
 // Bounds of the small deployments.
-constexpr milliseconds cancel_bound{3000};  // cancel_ms
-constexpr milliseconds contact_bound{3000}; // contactMs
+constexpr milliseconds cancel_bound{3000}; // cancel_ms
 // Of the sightings of runs, which are looked for every few milliseconds.
 constexpr milliseconds slack{200};
 constexpr milliseconds steady_state{5000}; // before the first job, so that nothing of the start is left
@@ -79,87 +78,11 @@
 
 } // namespace
 
-int cancel_while_cut(record& log) {
-    constexpr int steps = 16;
-    constexpr int task_ms = 1000;
-    constexpr milliseconds cut_time{5500};
-    fleet it(log, {"a", "a", "b", "b", "c", "c"}, 12, true);
-    if (!it.wait_until_serving()) {
-        return could_not_run;
-    }
-    pause(steady_state);
-    const auto id = job_id(1);
-    it.watch(id);
-    auto posted = post(log, it, 0, id, steps, task_ms);
-    pause(milliseconds(500));
-    if (has_trouble()) {
-        log.line("trouble: " + it.name(0) + " is cut off from all other entries");
-        it.set_entry_cut(0, true);
-    }
-    pause(milliseconds(3000));
-    const auto cancelled = cancel(log, it, 1, id);
-    const auto acknowledged = log.time();
-    pause(cut_time - milliseconds(3000));
-    if (has_trouble()) {
-        it.set_entry_cut(0, false);
-        log.line("trouble: the cut is over");
-    }
-    const auto calm = log.time();
-    if (!is_acknowledged(cancelled)) {
-        return report(log, false, "the DELETE was not acknowledged");
-    }
-    const auto limit = std::max(acknowledged + cancel_bound, calm + contact_bound);
-    pause(limit + milliseconds(task_ms) + 2 * slack + milliseconds(3000) - log.time());
-    return report(log, has_started_after(it, id, limit, task_ms),
-                  "tasks of the cancelled job that started later than " + std::to_string(limit.count()) + " ms");
-}
-
-int late_resend_after_restart(record& log) {
-    constexpr int task_ms = 1500;
-    fleet it(log, {"a", "a", "b", "b", "c", "c"}, 12, false);
-    if (!it.wait_until_serving()) {
-        return could_not_run;
-    }
-    pause(steady_state);
-    const auto id = job_id(1);
-    it.watch(id);
-    auto posted = post(log, it, 1, id, 2, task_ms);
-    pause(milliseconds(500));
-    if (!is_acknowledged(cancel(log, it, 0, id))) {
-        return could_not_run;
-    }
-    const auto acknowledged = log.time();
-    if (posted.get().status != 200) {
-        return could_not_run;
-    }
-    if (has_trouble()) {
-        log.line("trouble: SIGTERM to " + it.name(1));
-        it.process(1).send_signal(SIGTERM);
-        if (!it.process(1).wait_for_exit(milliseconds(6000))) {
-            return could_not_run;
-        }
-        it.start(1);
-        log.line("trouble: " + it.name(1) + " has exited and starts again");
-    } else {
-        pause(milliseconds(2600));
-    }
-    pause(contact_bound + milliseconds(700));
-    if (!it.is_ready(1)) {
-        return could_not_run;
-    }
-    const auto repeated_at = log.time();
-    auto repeated = post(log, it, 1, id, 2, task_ms);
-    pause(milliseconds(4000));
-    return report(log, has_started_after(it, id, std::max(acknowledged + cancel_bound, repeated_at), 0),
-                  "tasks of the cancelled job that started later than " +
-                      std::to_string((acknowledged + cancel_bound).count()) + " ms");
-}
-
 int late_resend_elsewhere(record& log) {
     constexpr int task_ms = 1000;
     constexpr int zone_entry = 7; // takes the jobs
     constexpr int other_entry = 6;
-    fleet it(log, {"a", "a", "a", "b", "b", "b", "c", "c"}, 12, false);
+    fleet it(log, {"a", "a", "a", "b", "b", "b", "c", "c"}, 12);
     if (!it.wait_until_serving()) {
         return could_not_run;
     }
@@ -203,7 +126,7 @@
     constexpr int odd_port = 8080;
     constexpr milliseconds restart_delay{500};
     constexpr milliseconds length{20000};
-    fleet it(log, {"a", "a", "b", "b", "c", "c"}, 12, false);
+    fleet it(log, {"a", "a", "b", "b", "c", "c"}, 12);
     if (!it.wait_until_serving()) {
         return could_not_run;
     }
@@ -256,43 +179,4 @@
     return machines >= machines_that_count ? broken : held;
 }
 
-int malformed_bodies(record& log) {
-    constexpr int ends_that_count = 3;
-    constexpr int machines_that_count = 2;
-    constexpr std::size_t body_size = 262'144; // what the entry accepts
-    fleet it(log, {"a", "a", "b", "b", "c", "c"}, 12, false);
-    if (!it.wait_until_serving()) {
-        return could_not_run;
-    }
-    pause(steady_state);
-    const std::string before = R"({"spec":"27000 10","bestEffort":true,"steps":[{"count":1,"cpu":27000,"memMb":64,)"
-                               R"("estimateMs":10,"after":)";
-    const std::string after = "}]}";
-    const auto depth = has_trouble() ? (body_size - before.size() - after.size()) / 2 : 1;
-    const auto body = before + std::string(depth, '[') + std::string(depth, ']') + after;
-    std::vector<int> ends(it.size());
-    for (int round = 0; round < ends_that_count; round++) {
-        for (int entry = 0; entry < machines_that_count; entry++) {
-            const auto id = job_id(round * machines_that_count + entry);
-            const auto answered = it.post_body(entry, id, body, milliseconds(1500));
-            log.line("client: POST " + id + " at " + it.name(entry) + " with a body of " + std::to_string(body.size()) +
-                     " bytes whose \"after\" is a list in lists, " + std::to_string(depth) + " deep, answered " +
-                     text_of(answered));
-            if (const auto code = it.process(entry).wait_for_exit(milliseconds(1500))) {
-                log.line(it.name(entry) + " has ended by itself, exit code " + std::to_string(*code));
-                ends[entry]++;
-                it.start(entry);
-            }
-        }
-        pause(milliseconds(2500));
-    }
-    int machines = 0;
-    for (const int n : ends) {
-        machines += n >= ends_that_count ? 1 : 0;
-    }
-    log.line(std::string("Fault is ") + (machines >= machines_that_count ? "broken: " : "kept: ") +
-             std::to_string(machines) + " machines on which a process ended by itself three times");
-    return machines >= machines_that_count ? broken : held;
-}
-
 } // namespace review
--- a/review/stand-ins-3/fleet.cpp
+++ b/review/stand-ins-3/fleet.cpp
@@ -7,7 +7,6 @@
 
 namespace review {
 
-using savorytrail::platform_links;
 namespace stand_ins = savorytrail::stand_ins;
 
 namespace {
@@ -16,7 +15,7 @@
 constexpr int control_port = 8166;
 constexpr int ready_port = 8167;
 constexpr int first_peer_port = 7720;
-constexpr int ports_per_entry = 16;
+constexpr int last_peer_port = 7735;
 constexpr const char* host_header = "h.example"; // of the emulator's queue, with the prefix /q/
 constexpr milliseconds poll_interval{4};
 
@@ -48,7 +47,7 @@
     std::cout << out << std::endl;
 }
 
-fleet::fleet(record& log, std::vector<std::string> zones, int executors, bool with_links)
+fleet::fleet(record& log, std::vector<std::string> zones, int executors)
     : m_record(log), m_network("127." + std::to_string(m_range.octet())), m_zones(std::move(zones)),
       m_platform(platform_options(m_network, m_zones, executors)),
       m_folder(std::filesystem::temp_directory_path() / ("savory-review-" + std::to_string(getpid()))),
@@ -56,16 +55,6 @@
     std::filesystem::create_directories(m_folder);
     m_platform.start();
     m_platform.configure(2);
-    if (with_links) {
-        platform_links::plan plan;
-        plan.network = m_network;
-        plan.store = m_platform.store();
-        for (int i = 0; i < size(); i++) {
-            plan.entries.push_back(
-                {host(i), static_cast<std::uint16_t>(first_peer_port + i * ports_per_entry)});
-        }
-        m_links = std::make_unique<platform_links>(plan);
-    }
     for (int i = 0; i < size(); i++) {
         start(i);
         std::this_thread::sleep_for(milliseconds(25)); // all within 0.3 s of each other
@@ -86,18 +75,13 @@
     return m_network + ".2." + std::to_string(entry + 1);
 }
 
-int fleet::peer_port(int entry) const {
-    return first_peer_port + (m_links ? entry * ports_per_entry : 0);
-}
-
 void fleet::start(int entry) {
     const auto path = m_folder / (std::to_string(entry) + ".toml");
     const auto own = host(entry);
-    const auto port = peer_port(entry);
     std::ofstream file(path);
     file << "node = \"" << name(entry) << "\"\nrole = \"entry\"\nclass = \"front\"\n"
          << "serves = [\"front\",\"control\"]\nip = \"" << own << "\"\nzone = \"" << zone(entry)
-         << "\"\nregion = \"r\"\nportRange = [" << port << "," << port + ports_per_entry - 1
+         << "\"\nregion = \"r\"\nportRange = [" << first_peer_port << "," << last_peer_port
          << "]\nseeds = [\"" << host(0) << ":" << control_port << "\",\"" << host(1) << ":"
          << control_port << "\",\"" << host(size() - 1) << ":" << control_port
          << "\"]\nbootstrap = true\nlossCounts = false\ndiscovery = \"platform\"\nentry = \"vip\"\n"
@@ -112,7 +96,7 @@
          << "[bounds]\nseedLagS = 3\nreuseAfterS = 2\ncontactMs = 3000\nackMs = 4000\ndrainMs = 2000\n"
          << "graceS = 6\nconfigMs = 2000\nholdMaxMs = 1000\nstopMs = 50\ncancel_ms = 3000\n"
          << "visible_ms = 3000\nresendMs = 1300\n[platform]\naddress = \""
-         << (m_links ? m_links->store_of(entry) : m_platform.store()).to_string()
+         << m_platform.store().to_string()
          << "\"\nform = \"table\"\n";
     file.close();
     ::setenv("SAVORYTRAIL_BOOT", path.c_str(), 1);
@@ -148,23 +132,6 @@
     return true;
 }
 
-void fleet::set_zone_cut(const std::string& zone_name, bool is_cut) {
-    const stand_ins::proxy_fault fault =
-        is_cut ? stand_ins::proxy_fault{stand_ins::proxy_mode::drop, {}, 0} : stand_ins::proxy_fault{};
-    for (int from = 0; from < size(); from++) {
-        for (int to = 0; to < size(); to++) {
-            if ((zone(from) == zone_name) != (zone(to) == zone_name)) {
-                m_links->set_link_fault(from, to, fault);
-            }
-        }
-    }
-}
-
-void fleet::set_entry_cut(int entry, bool is_cut) {
-    m_links->set_entry_fault(entry, is_cut ? stand_ins::proxy_fault{stand_ins::proxy_mode::drop, {}, 0}
-                                           : stand_ins::proxy_fault{});
-}
-
 answer fleet::post(int entry, const std::string& id, int steps, int task_ms,
                    milliseconds deadline) const {
     std::string body = R"({"spec":"27000 )" + std::to_string(task_ms) + R"(","bestEffort":true,"steps":[)";
@@ -174,10 +141,6 @@
                 (i == 0 ? "}" : R"(,"after":[)" + std::to_string(i - 1) + "]}");
     }
     body += "]}";
-    return post_body(entry, id, body, deadline);
-}
-
-answer fleet::post_body(int entry, const std::string& id, const std::string& body, milliseconds deadline) const {
     httplib::Client client(host(entry), caller_port);
     client.set_connection_timeout(1, 0);
     client.set_read_timeout(deadline);
@@ -233,13 +196,4 @@
     }
 }
 
-void fleet::save_logs(const std::string& folder) const {
-    std::filesystem::create_directories(folder);
-    for (int i = 0; i < size(); i++) {
-        std::filesystem::copy_file(m_folder / (std::to_string(i) + ".log"),
-                                   folder + "/" + name(i) + ".log",
-                                   std::filesystem::copy_options::overwrite_existing);
-    }
-}
-
 } // namespace review
--- a/review/stand-ins-3/fleet.h
+++ b/review/stand-ins-3/fleet.h
@@ -1,6 +1,5 @@
 // A small deployment for the third review: the project's entries as real processes, started with the program of the
-// deploy file and settings as DEPLOY.md gives them, against the project's emulator of the users' platform. Optionally
-// each way between two entries leads through a proxy, so that a zone can be cut off. All on loopback.
+// deploy file and settings as DEPLOY.md gives them, against the project's emulator of the users' platform. All on loopback.
 #pragma once
 
 #include <atomic>
@@ -13,7 +12,6 @@
 #include <thread>
 #include <vector>
 
-#include "integration_tests/platform_links.h"
 #include "stand_ins/cluster/addresses.h"
 #include "stand_ins/cluster/process.h"
 #include "stand_ins/users_platform/emulator.h"
@@ -51,15 +49,14 @@
 
 class fleet {
 public:
-    // `zones`: that of each entry. `with_links`: proxies stand between the entries.
-    fleet(record& log, std::vector<std::string> zones, int executors, bool with_links);
+    // `zones`: that of each entry.
+    fleet(record& log, std::vector<std::string> zones, int executors);
     ~fleet();
 
     int size() const { return static_cast<int>(m_zones.size()); }
     const std::string& zone(int entry) const { return m_zones.at(entry); }
     std::string name(int entry) const { return "front-" + zone(entry) + "-" + std::to_string(entry); }
     savorytrail::stand_ins::emulator& platform() { return m_platform; }
-    savorytrail::platform_links& links() { return *m_links; }
 
     // A loopback address of this deployment that nothing else uses.
     std::string address(int subnet) const { return m_network + "." + std::to_string(subnet) + ".1"; }
@@ -69,26 +66,17 @@
     // Until all are ready and have completed a job; false after 15 seconds.
     bool wait_until_serving();
     bool is_ready(int entry) const;
-    // Cuts all ways between entries of the zone and others, silently, or restores them.
-    void set_zone_cut(const std::string& zone, bool is_cut);
-    // Cuts all ways between one entry and the others.
-    void set_entry_cut(int entry, bool is_cut);
 
     // A job of `steps` tasks, one after the other, of `task_ms` each.
     answer post(int entry, const std::string& id, int steps, int task_ms, milliseconds deadline) const;
-    // A job with any body.
-    answer post_body(int entry, const std::string& id, const std::string& body, milliseconds deadline) const;
     answer cancel(int entry, const std::string& id) const;
 
     // From now on, notes when tasks of the job run.
     void watch(const std::string& id);
     std::vector<sighting> sightings(const std::string& id);
 
-    void save_logs(const std::string& folder) const;
-
 private:
     std::string host(int entry) const;
-    int peer_port(int entry) const;
     void follow_runs();
 
     record& m_record;
@@ -96,7 +84,6 @@
     const std::string m_network;
     const std::vector<std::string> m_zones;
     savorytrail::stand_ins::emulator m_platform;
-    std::unique_ptr<savorytrail::platform_links> m_links;
     const std::filesystem::path m_folder;
     std::vector<std::unique_ptr<savorytrail::stand_ins::process>> m_processes;
     std::mutex m_mutex;
--- a/review/stand-ins-3/main.cpp
+++ b/review/stand-ins-3/main.cpp
@@ -11,11 +11,8 @@
 
 int main(int argc, char** argv) {
     const std::map<std::string, int (*)(review::record&)> cases = {
-        {"cancel_while_cut", review::cancel_while_cut},
-        {"late_resend_after_restart", review::late_resend_after_restart},
         {"late_resend_elsewhere", review::late_resend_elsewhere},
         {"malformed_answers", review::malformed_answers},
-        {"malformed_bodies", review::malformed_bodies},
     };
     const auto found = argc == 3 ? cases.find(argv[1]) : cases.end();
     if (found == cases.end()) {
